--- a/stoatjunction_core/src/code.rs
+++ b/stoatjunction_core/src/code.rs
@@ -114,6 +114,10 @@
     BodyIncomplete = 1008, "body-incomplete", 400, NotRun, Later;
     /// The path or method is not part of the interface.
     NoSuchPath = 1009, "no-such-path", 404, NotRun, Never;
+    /// No route of the host begins the path.
+    NoRoute = 1010, "no-route", 404, NotRun, Never;
+    /// The key is missing, or no organisation holds it.
+    UnknownKey = 1011, "unknown-key", 401, NotRun, Never;
     /// Every reachable shard is full with calls of the same or higher tiers.
     Overloaded = 2001, "overloaded", 503, NotRun, Later;
     /// The deadline could not be met even alone on the fastest upstream.
@@ -130,6 +134,14 @@
     NotReady = 2007, "not-ready", 503, NotRun, Later;
     /// A queued request of a lower tier was dropped in favour of a higher tier.
     Shed = 2008, "shed", 503, NotRun, Later;
+    /// The organisation is over its limit.
+    OverLimit = 2009, "over-limit", 429, NotRun, Later;
+    /// The time of the route passed before the request was sent to an upstream.
+    NotBegun = 2010, "not-begun", 503, NotRun, Later;
+    /// The request broke three upstreams and is sent to no other for a minute.
+    Barred = 2011, "barred", 503, NotRun, Later;
+    /// Every upstream it was sent to said that it did not run the request.
+    Declined = 2012, "declined", 503, NotRun, Later;
     /// The upstream broke off before the answer was whole.
     UpstreamBroken = 3001, "upstream-broken", 502, Unknown, Later;
     /// The upstream answered with an error of its own.
--- /dev/null
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -0,0 +1,141 @@
+//! Limits by organisation over all hosts: a bucket that every host keeps from its own use and what
+//! the others say of theirs. Hosts that cannot be heard keep their share, so that the parts of a
+//! divided fleet never admit more than the limit together.
+
+use indexmap::IndexMap;
+
+use crate::time::{Span, Time};
+
+/// Part of a bucket that is full when a host starts, since others may just have used theirs.
+const START_LEVEL: f64 = 0.3;
+/// Longest advice to a caller over its limit.
+const MAX_WAIT: Span = Span::from_millis(10_000);
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    level: f64,
+    rate: f64,
+    burst: f64,
+    at: Time,
+}
+
+/// Units used by one host since it started, by organisation.
+pub type Usage = Vec<(u64, u64)>;
+
+/// The buckets of one host.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    buckets: IndexMap<u64, Bucket>,
+    used: IndexMap<u64, u64>,
+    heard: IndexMap<(u64, u64), u64>,
+    share: f64,
+}
+
+impl Limits {
+    /// Limits of a host that is alone until it hears of others.
+    pub fn new() -> Limits {
+        Limits {
+            share: 1.0,
+            ..Limits::default()
+        }
+    }
+
+    /// Sets the rate and burst of an organisation; a rate of zero lifts its limit.
+    pub fn set(&mut self, organisation: u64, rate: u64, burst: u64, now: Time) {
+        if rate == 0 {
+            self.buckets.swap_remove(&organisation);
+            return;
+        }
+        let (rate, burst) = (rate as f64, burst.max(1) as f64);
+        let share = self.share;
+        let bucket = self.buckets.entry(organisation).or_insert(Bucket {
+            level: burst * START_LEVEL * share,
+            rate,
+            burst,
+            at: now,
+        });
+        bucket.refill(share, now);
+        bucket.rate = rate;
+        bucket.burst = burst;
+        bucket.level = bucket.level.min(burst * share);
+    }
+
+    /// Sets the part of all hosts that hear each other, this one included.
+    pub fn set_reach(&mut self, heard: usize, known: usize, now: Time) {
+        let share = (heard.max(1) as f64 / known.max(1) as f64).min(1.0);
+        if share == self.share {
+            return;
+        }
+        for bucket in self.buckets.values_mut() {
+            bucket.refill(self.share, now);
+            bucket.level = bucket.level.min(bucket.burst * share);
+        }
+        self.share = share;
+    }
+
+    /// Part of each limit that the hosts within reach have.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Takes `units` of an organisation's limit.
+    ///
+    /// # Errors
+    ///
+    /// The time after which there will be room, when there is none.
+    pub fn take(&mut self, organisation: u64, units: u64, now: Time) -> Result<(), Span> {
+        let share = self.share;
+        if let Some(bucket) = self.buckets.get_mut(&organisation) {
+            bucket.refill(share, now);
+            let need = (units as f64).min(bucket.burst * share);
+            if bucket.level < need {
+                let wait = (need - bucket.level) / (bucket.rate * share);
+                return Err(Span::from_secs_f64(wait).min(MAX_WAIT));
+            }
+            bucket.level -= units as f64;
+        }
+        *self.used.entry(organisation).or_default() += units;
+        Ok(())
+    }
+
+    /// Gives back what a request took that was never sent.
+    pub fn give_back(&mut self, organisation: u64, units: u64) {
+        if let Some(bucket) = self.buckets.get_mut(&organisation) {
+            bucket.level = (bucket.level + units as f64).min(bucket.burst * self.share);
+        }
+        let used = self.used.entry(organisation).or_default();
+        *used = used.saturating_sub(units);
+    }
+
+    /// What this host has used.
+    pub fn usage(&self) -> Usage {
+        self.used.iter().map(|(o, n)| (*o, *n)).collect()
+    }
+
+    /// Takes in what another boot of a host, named by `peer`, has used since its start.
+    pub fn hear(&mut self, peer: u64, usage: &[(u64, u64)], now: Time) {
+        for (organisation, total) in usage {
+            let before = self.heard.insert((peer, *organisation), *total);
+            let before = before.unwrap_or(*total);
+            let Some(bucket) = self.buckets.get_mut(organisation) else {
+                continue;
+            };
+            bucket.refill(self.share, now);
+            let used = *total as f64 - before as f64;
+            bucket.level = (bucket.level - used).min(bucket.burst * self.share);
+        }
+    }
+
+    /// Forgets a boot of a host.
+    pub fn forget(&mut self, peer: u64) {
+        self.heard.retain(|(p, _), _| *p != peer);
+    }
+}
+
+impl Bucket {
+    fn refill(&mut self, share: f64, now: Time) {
+        let gained = self.rate * share * now.since(self.at).as_secs_f64();
+        self.level = (self.level + gained).min(self.burst * share);
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! Decisions of an entry host that forwards requests by routes: where a request may go, whether it
+//! is within its organisation's limit, when and on which upstream it runs, and when it is refused.
+//!
+//! Hosts decide for themselves, each from its own runs and what the others last said of theirs.
+
+pub mod budget;
+pub mod config;
+pub mod engine;
+pub mod health;
+pub mod limit;
+pub mod parts;
+pub mod pool;
+pub mod queue;
+pub mod route;
+pub mod suspects;
+pub mod view;
--- /dev/null
+++ b/stoatjunction_core/src/entry/parts.rs
@@ -0,0 +1,66 @@
+//! Which upstream has read which part of a prompt.
+
+use indexmap::IndexMap;
+
+use super::pool::NodeKey;
+use crate::time::Time;
+
+/// Most parts remembered.
+const MAX_PARTS: usize = 8_192;
+/// Most upstreams remembered for one part.
+const MAX_HOLDERS: usize = 4;
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of its name.
+    pub id: u32,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// Parts by the upstreams that read them, the least recently used first.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    held: IndexMap<u32, Vec<(NodeKey, Time)>>,
+}
+
+impl Parts {
+    /// Records that `node` reads the part.
+    pub fn read(&mut self, part: u32, node: NodeKey, now: Time) {
+        let mut holders = self.held.shift_remove(&part).unwrap_or_default();
+        holders.retain(|(n, _)| *n != node);
+        if holders.len() >= MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push((node, now));
+        if self.held.len() >= MAX_PARTS {
+            self.held.shift_remove_index(0);
+        }
+        self.held.insert(part, holders);
+    }
+
+    /// Tokens of a prompt that `node` has still to read.
+    pub fn unread(&self, prompt: &[Part], node: NodeKey) -> u32 {
+        let known = prompt
+            .iter()
+            .take_while(|p| self.holds(p.id, node))
+            .map(|p| p.tokens)
+            .sum::<u32>();
+        let all = prompt.iter().map(|p| p.tokens).sum::<u32>();
+        all - known
+    }
+
+    /// Forgets what `node` had read.
+    pub fn forget(&mut self, node: NodeKey) {
+        self.held.retain(|_, holders| {
+            holders.retain(|(n, _)| *n != node);
+            !holders.is_empty()
+        });
+    }
+
+    fn holds(&self, part: u32, node: NodeKey) -> bool {
+        let holders = self.held.get(&part);
+        holders.is_some_and(|h| h.iter().any(|(n, _)| *n == node))
+    }
+}
--- /dev/null
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -0,0 +1,488 @@
+//! The upstreams of one service as one host sees them, and the choice among them.
+//!
+//! Load answered: bursts that a pool cannot take whole. An upstream's own queue knows no ranks and
+//! keeps what can no longer be in time, so a call goes out only when a place is free, to the
+//! upstream with the earliest first event, and is refused at once when none can be in time.
+
+use indexmap::IndexMap;
+
+use super::engine::{Factor, Line};
+use super::health::{Health, Outcome};
+use super::parts::{Part, Parts};
+use super::view::Listed;
+use crate::arena::{Arena, Key};
+use crate::time::{Span, Time};
+
+/// Time after which another host's word on its load counts no more.
+const PEER_AGE: Span = Span::from_millis(1_500);
+/// Time for which a report of more load than is known counts.
+const EXCESS_AGE: Span = Span::from_millis(500);
+/// Milliseconds that a run in another data centre has to save, for the bytes between them.
+const FAR_MS: f64 = 6.0;
+/// Milliseconds that a full batch costs against an empty one.
+const CROWD_MS: f64 = 30.0;
+/// Milliseconds that a token costs in the choice, beyond its reading: it delays the neighbours.
+const NEIGHBOUR: f64 = 0.3;
+/// Mean time of a run before anything is learned, in milliseconds.
+const RUN_HINT: f64 = 800.0;
+/// Weight of a run in the mean time of runs.
+const RUN_WEIGHT: f64 = 0.02;
+/// Factor on forecasts of an upstream that started a moment ago.
+const COLD: f64 = 1.7;
+
+/// Position of an upstream in its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NodeKey(pub u32);
+
+impl Key for NodeKey {
+    fn from_index(index: usize) -> Self {
+        NodeKey(index as u32)
+    }
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// A run of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RunKey(u32);
+
+impl Key for RunKey {
+    fn from_index(index: usize) -> Self {
+        RunKey(index as u32)
+    }
+
+    fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// What one host runs on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens still to be read.
+    pub unread: u32,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct Node {
+    /// As the platform lists it.
+    pub listed: Listed,
+    own: Load,
+    others: IndexMap<u64, (Load, Time)>,
+    excess: u32,
+    excess_at: Time,
+    cold_until: Time,
+    health: Health,
+    factor: Factor,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    node: NodeKey,
+    unread: u32,
+    ahead: u32,
+    begun: Time,
+    had_place: bool,
+    first: bool,
+}
+
+/// What a call needs of its pool.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    /// Rank of the organisation and of the route.
+    pub rank: (u8, u8),
+    /// Parts of the prompt; empty for plain calls.
+    pub prompt: Vec<Part>,
+    /// Moment until which the first answer is in time.
+    pub in_time: Time,
+    /// Moment until which the call may wait for a place.
+    pub wait_until: Time,
+    /// True for a call that comes back after its time: it runs when there is room to spare.
+    pub late: bool,
+    /// True when the call may be sent again.
+    pub idempotent: bool,
+    /// Upstreams it was already sent to.
+    pub tried: Vec<NodeKey>,
+}
+
+/// What to do with a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Send it to the upstream.
+    Place(NodeKey),
+    /// Keep it until something changes.
+    Wait,
+    /// Refuse it; there may be room after the time.
+    Refuse(Span),
+}
+
+/// The upstreams of a service.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    dc: String,
+    nodes: Arena<NodeKey, Node>,
+    by_id: IndexMap<String, NodeKey>,
+    runs: Arena<RunKey, Run>,
+    parts: Parts,
+    line: Line,
+    run_ms: f64,
+    seed: u64,
+}
+
+impl Pool {
+    /// A pool without upstreams, seen from data centre `dc`. `seed` differs between hosts, so that
+    /// they do not all choose the same of two equal upstreams.
+    pub fn new(dc: &str, seed: u64) -> Pool {
+        Pool {
+            dc: dc.to_owned(),
+            nodes: Arena::default(),
+            by_id: IndexMap::new(),
+            runs: Arena::default(),
+            parts: Parts::default(),
+            line: Line::default(),
+            run_ms: RUN_HINT,
+            seed,
+        }
+    }
+
+    /// Takes the newest list of the service's upstreams.
+    pub fn set_nodes<'a, I>(&mut self, listed: I, now: Time)
+    where
+        I: Iterator<Item = &'a Listed>,
+    {
+        let mut seen = Vec::new();
+        for l in listed {
+            seen.push(l.id.clone());
+            self.set_node(l, now);
+        }
+        let gone: Vec<String> = self
+            .by_id
+            .keys()
+            .filter(|id| !seen.contains(id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.drop_node(&id);
+        }
+    }
+
+    fn set_node(&mut self, l: &Listed, now: Time) {
+        let known = self.by_id.get(&l.id).copied();
+        if let Some(key) = known
+            && let Some(node) = self.nodes.get_mut(key)
+            && node.listed.born == l.born
+            && node.listed.addr == l.addr
+        {
+            node.listed = l.clone();
+            return;
+        }
+        self.drop_node(&l.id);
+        let key = self.nodes.insert(Node {
+            listed: l.clone(),
+            own: Load::default(),
+            others: IndexMap::new(),
+            excess: 0,
+            excess_at: Time::default(),
+            cold_until: now + Span::from_millis(l.cold_ms),
+            health: Health::default(),
+            factor: Factor::default(),
+        });
+        self.by_id.insert(l.id.clone(), key);
+    }
+
+    fn drop_node(&mut self, id: &str) {
+        if let Some(key) = self.by_id.shift_remove(id) {
+            self.nodes.remove(key);
+            self.parts.forget(key);
+        }
+    }
+
+    /// The upstream of a key, while it is listed.
+    pub fn node(&self, key: NodeKey) -> Option<&Node> {
+        self.nodes.get(key)
+    }
+
+    /// The key of the upstream with `id`.
+    pub fn key(&self, id: &str) -> Option<NodeKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All upstreams.
+    pub fn nodes(&self) -> impl Iterator<Item = (NodeKey, &Node)> {
+        self.nodes.iter()
+    }
+
+    /// Places that are free over all upstreams in use.
+    pub fn free(&self, now: Time) -> u32 {
+        self.usable(now)
+            .map(|(_, n)| n.listed.slots.saturating_sub(n.running(now)))
+            .sum()
+    }
+
+    /// All places of the upstreams in use.
+    pub fn places(&self, now: Time) -> u32 {
+        self.usable(now).map(|(_, n)| n.listed.slots).sum()
+    }
+
+    fn usable(&self, now: Time) -> impl Iterator<Item = (NodeKey, &Node)> {
+        let sound = move |n: &Node| !n.listed.draining && !n.health.is_avoided(now);
+        let any = self.nodes.iter().any(|(_, n)| sound(n));
+        self.nodes
+            .iter()
+            .filter(move |(_, n)| !n.listed.draining && (sound(n) || !any))
+    }
+
+    /// Milliseconds until the first event of a prompt of which `unread` tokens are to be read.
+    pub fn forecast(&self, node: &Node, unread: u32, now: Time) -> f64 {
+        let load = node.load(now);
+        let tokens = f64::from(load.unread) + f64::from(unread);
+        let cold = if now < node.cold_until { COLD } else { 1.0 };
+        self.wait_ms(node, now) + self.line.at(tokens) * node.factor.get() * cold
+    }
+
+    fn wait_ms(&self, node: &Node, now: Time) -> f64 {
+        let slots = node.listed.slots.max(1);
+        let over = (node.running(now) + 1).saturating_sub(slots);
+        f64::from(over) * self.run_ms * node.factor.get() / f64::from(slots)
+    }
+
+    /// Decides on a call.
+    pub fn decide(&mut self, need: &Need, now: Time) -> Verdict {
+        let mut best: Option<(f64, f64, NodeKey, bool)> = None;
+        let mut open = 0;
+        self.seed = crate::hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        for (key, node) in self.usable(now) {
+            if need.tried.contains(&key) {
+                continue;
+            }
+            open += 1;
+            let trial = node.health.is_on_trial();
+            if trial && (node.own.running > 0 || !need.idempotent) && self.nodes.len() > 1 {
+                continue;
+            }
+            let unread = self.parts.unread(&need.prompt, key);
+            let ms = self.forecast(node, unread, now);
+            let cost = ms + self.extra_cost(node, key, unread, now);
+            let has_place = node.running(now) < node.listed.slots;
+            let better = best.is_none_or(|(c, _, _, p)| (!has_place, cost) < (!p, c));
+            if better {
+                best = Some((cost, ms, key, has_place));
+            }
+        }
+        let Some((_, ms, key, has_place)) = best else {
+            return self.without_upstream(need, open, now);
+        };
+        let first_event = now + Span::from_secs_f64(ms / 1e3);
+        if !need.late && first_event > need.in_time {
+            return Verdict::Refuse(self.backlog(now));
+        }
+        if has_place && self.has_spare(need, now) {
+            return Verdict::Place(key);
+        }
+        if now >= need.wait_until {
+            return Verdict::Refuse(self.backlog(now));
+        }
+        Verdict::Wait
+    }
+
+    fn without_upstream(&self, need: &Need, open: u32, now: Time) -> Verdict {
+        if open > 0 && now < need.wait_until {
+            return Verdict::Wait;
+        }
+        Verdict::Refuse(self.backlog(now))
+    }
+
+    fn extra_cost(&self, node: &Node, key: NodeKey, unread: u32, now: Time) -> f64 {
+        let slots = f64::from(node.listed.slots.max(1));
+        let crowd = CROWD_MS * f64::from(node.running(now)) / slots;
+        let far = if node.listed.dc == self.dc { 0.0 } else { FAR_MS };
+        let neighbours = self.line.slope() * f64::from(unread) * NEIGHBOUR;
+        let draw = crate::hash::mix(self.seed ^ u64::from(key.0)) >> 40;
+        let spread = draw as f64 / (1_u64 << 24) as f64;
+        crowd + far + neighbours + 2.0 * spread
+    }
+
+    /// True when the call's rank may take one of the free places: the last ones are kept for the
+    /// urgent.
+    fn has_spare(&self, need: &Need, now: Time) -> bool {
+        let places = f64::from(self.places(now));
+        let steps = f64::from(need.rank.1.min(3)) + if need.late { 2.0 } else { 0.0 };
+        f64::from(self.free(now)) > RESERVE * steps * places
+    }
+
+    /// Time after which a call that is refused now may find room.
+    pub fn backlog(&self, now: Time) -> Span {
+        let over: f64 = self
+            .usable(now)
+            .map(|(_, n)| self.wait_ms(n, now))
+            .fold(f64::INFINITY, f64::min);
+        let ms = if over.is_finite() { over } else { self.run_ms };
+        Span::from_secs_f64((ms + self.run_ms) / 1e3)
+    }
+
+    /// Records that a call was sent.
+    pub fn started(&mut self, key: NodeKey, prompt: &[Part], now: Time) -> RunKey {
+        let unread = self.parts.unread(prompt, key);
+        let mut ahead = 0;
+        let mut had_place = false;
+        if let Some(node) = self.nodes.get_mut(key) {
+            let load = node.load(now);
+            ahead = load.unread;
+            had_place = load.running < node.listed.slots;
+            node.own.running += 1;
+            node.own.unread += unread;
+        }
+        for part in prompt {
+            self.parts.read(part.id, key, now);
+        }
+        self.runs.insert(Run {
+            node: key,
+            unread,
+            ahead,
+            begun: now,
+            had_place,
+            first: false,
+        })
+    }
+
+    /// Records another host's placing of a prompt's part.
+    pub fn heard_part(&mut self, part: u32, key: NodeKey, now: Time) {
+        self.parts.read(part, key, now);
+    }
+
+    /// Records the first event, or the head of a plain answer.
+    pub fn first(&mut self, run: RunKey, now: Time) {
+        let Some(r) = self.runs.get_mut(run) else {
+            return;
+        };
+        if std::mem::replace(&mut r.first, true) {
+            return;
+        }
+        let r = *r;
+        let Some(node) = self.nodes.get_mut(r.node) else {
+            return;
+        };
+        node.own.unread = node.own.unread.saturating_sub(r.unread);
+        if !r.had_place {
+            return;
+        }
+        let ms = now.since(r.begun).as_secs_f64() * 1e3;
+        let tokens = f64::from(r.ahead) + f64::from(r.unread);
+        let usual = self.line.at(tokens);
+        let factor = node.factor.get();
+        node.factor.observe(ms / usual);
+        self.line.observe(tokens, ms / factor);
+    }
+
+    /// Records the end of a run.
+    pub fn ended(&mut self, run: RunKey, outcome: Option<Outcome>, now: Time) {
+        let Some(r) = self.runs.remove(run) else {
+            return;
+        };
+        let Some(node) = self.nodes.get_mut(r.node) else {
+            return;
+        };
+        node.own.running = node.own.running.saturating_sub(1);
+        if !r.first {
+            node.own.unread = node.own.unread.saturating_sub(r.unread);
+        }
+        if outcome == Some(Outcome::Good) && r.first {
+            let ms = now.since(r.begun).as_secs_f64() * 1e3 / node.factor.get();
+            self.run_ms += (ms - self.run_ms) * RUN_WEIGHT;
+        }
+        if let Some(outcome) = outcome {
+            node.health.observe(outcome, now);
+        }
+        if matches!(outcome, Some(Outcome::Broken | Outcome::Unreachable)) && !r.first {
+            self.parts.forget(r.node);
+        }
+    }
+
+    /// Records an outcome that is not the end of a run.
+    pub fn observe(&mut self, key: NodeKey, outcome: Outcome, now: Time) {
+        if let Some(node) = self.nodes.get_mut(key) {
+            node.health.observe(outcome, now);
+        }
+    }
+
+    /// Takes in what an upstream said of its load in an answer.
+    pub fn reported(&mut self, key: NodeKey, running: u32, waiting: u32, now: Time) {
+        if let Some(node) = self.nodes.get_mut(key) {
+            let known = node.own.running + node.others_load(now).running;
+            node.excess = (running + waiting).saturating_sub(known);
+            node.excess_at = now;
+        }
+    }
+
+    /// Takes in what another host runs on an upstream.
+    pub fn heard(&mut self, peer: u64, key: NodeKey, load: Load, now: Time) {
+        if let Some(node) = self.nodes.get_mut(key) {
+            node.others.insert(peer, (load, now));
+        }
+    }
+
+    /// Takes in how much slower than the pool another host found an upstream.
+    pub fn heard_factor(&mut self, key: NodeKey, factor: f64, count: u32) {
+        if let Some(node) = self.nodes.get_mut(key) {
+            node.factor.hear(factor, count);
+        }
+    }
+
+    /// Forgets a host's load.
+    pub fn forget_peer(&mut self, peer: u64) {
+        for (_, node) in self.nodes.iter_mut() {
+            node.others.swap_remove(&peer);
+        }
+    }
+}
+
+/// Part of all places that each step of rank leaves free.
+const RESERVE: f64 = 0.02;
+
+impl Node {
+    /// What this host runs here.
+    pub fn own(&self) -> Load {
+        self.own
+    }
+
+    /// How much slower than the pool, and from how many observations.
+    pub fn factor(&self) -> (f64, u32) {
+        (self.factor.get(), self.factor.count())
+    }
+
+    /// True while the upstream is better left alone.
+    pub fn is_avoided(&self, now: Time) -> bool {
+        self.health.is_avoided(now)
+    }
+
+    /// Requests that run here, of all hosts.
+    pub fn running(&self, now: Time) -> u32 {
+        self.load(now).running
+    }
+
+    fn load(&self, now: Time) -> Load {
+        let others = self.others_load(now);
+        let fresh = now.since(self.excess_at) < EXCESS_AGE;
+        let excess = if fresh { self.excess } else { 0 };
+        Load {
+            running: self.own.running + others.running + excess,
+            unread: self.own.unread + others.unread,
+        }
+    }
+
+    fn others_load(&self, now: Time) -> Load {
+        let fresh = self
+            .others
+            .values()
+            .filter(|(_, at)| now.since(*at) < PEER_AGE);
+        fresh.fold(Load::default(), |sum, (l, _)| Load {
+            running: sum.running + l.running,
+            unread: sum.unread + l.unread,
+        })
+    }
+}
--- /dev/null
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -0,0 +1,74 @@
+//! Calls of one host that wait for a place, by rank and then by the time left to be in time.
+
+use super::pool::{Need, Pool, Verdict};
+use crate::time::Time;
+
+/// Names a waiting call.
+pub type CallId = u64;
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    id: CallId,
+    need: Need,
+}
+
+/// The waiting calls of a pool.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: Vec<Waiting>,
+}
+
+impl Queue {
+    /// Adds a call.
+    pub fn push(&mut self, id: CallId, need: Need) {
+        let key = order(&need);
+        let at = self.waiting.partition_point(|w| order(&w.need) <= key);
+        self.waiting.insert(at, Waiting { id, need });
+    }
+
+    /// Takes a call out.
+    pub fn remove(&mut self, id: CallId) {
+        self.waiting.retain(|w| w.id != id);
+    }
+
+    /// True when a call at least as urgent as `need` waits.
+    pub fn is_ahead(&self, need: &Need) -> bool {
+        let key = order(need);
+        self.waiting
+            .first()
+            .is_some_and(|w| order(&w.need) <= key)
+    }
+
+    /// Calls that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// True when no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes out the most urgent call on which something is decided, with the decision. The caller
+    /// records a placing in `pool` before it asks again.
+    pub fn next(&mut self, pool: &mut Pool, now: Time) -> Option<(CallId, Need, Verdict)> {
+        let no_place = pool.free(now) == 0;
+        for index in 0..self.waiting.len() {
+            let need = &self.waiting[index].need;
+            let due = now >= need.wait_until || (!need.late && now >= need.in_time);
+            if no_place && !due {
+                continue;
+            }
+            let verdict = pool.decide(need, now);
+            if verdict != Verdict::Wait {
+                let waiting = self.waiting.remove(index);
+                return Some((waiting.id, waiting.need, verdict));
+            }
+        }
+        None
+    }
+}
+
+fn order(need: &Need) -> (bool, (u8, u8), Time) {
+    (need.late, need.rank, need.in_time)
+}
--- /dev/null
+++ b/stoatjunction_core/src/entry/route.rs
@@ -0,0 +1,102 @@
+//! Finding a request's route and organisation.
+
+use indexmap::IndexMap;
+
+use super::config::{Configuration, Organisation, Route};
+
+/// Why a request is not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// No route begins its path.
+    NoRoute,
+    /// Its key is missing or unknown.
+    NoKey,
+}
+
+/// A configuration with indices for looking up.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    cfg: Configuration,
+    by_host: IndexMap<String, Vec<usize>>,
+    by_key: IndexMap<String, usize>,
+}
+
+impl Routes {
+    /// Indexes `cfg`.
+    pub fn new(cfg: Configuration) -> Routes {
+        let mut by_host: IndexMap<String, Vec<usize>> = IndexMap::new();
+        for (index, route) in cfg.routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(index);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|i| std::cmp::Reverse(cfg.routes[*i].prefix.len()));
+        }
+        let mut by_key = IndexMap::new();
+        for (index, organisation) in cfg.organisations.iter().enumerate() {
+            for key in &organisation.keys {
+                by_key.insert(key.clone(), index);
+            }
+        }
+        Routes {
+            cfg,
+            by_host,
+            by_key,
+        }
+    }
+
+    /// The configuration.
+    pub fn cfg(&self) -> &Configuration {
+        &self.cfg
+    }
+
+    /// The route of the host with the longest prefix that begins `path`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.by_host.get(&host.to_ascii_lowercase())?;
+        let found = routes
+            .iter()
+            .map(|i| &self.cfg.routes[*i])
+            .find(|r| path.starts_with(&r.prefix));
+        found
+    }
+
+    /// The organisation that holds `key`.
+    pub fn holder(&self, key: &str) -> Option<&Organisation> {
+        let index = *self.by_key.get(key)?;
+        self.cfg.organisations.get(index)
+    }
+
+    /// The route and organisation of a request.
+    ///
+    /// # Errors
+    ///
+    /// Why the request is not let in.
+    pub fn admit(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<(&Route, Option<&Organisation>), Denied> {
+        let route = self.find(host, path).ok_or(Denied::NoRoute)?;
+        let holder = key.and_then(|k| self.holder(k));
+        let open = route.anonymous || self.cfg.organisations.is_empty();
+        if holder.is_none() && !open {
+            return Err(Denied::NoKey);
+        }
+        Ok((route, holder))
+    }
+}
+
+/// The service that takes a request of `route`; `draw` is uniform in [0, 1).
+pub fn split(route: &Route, draw: f64) -> Option<&str> {
+    let total: u64 = route.targets.iter().map(|(_, w)| u64::from(*w)).sum();
+    let mut left = (draw * total as f64) as u64;
+    for (service, weight) in &route.targets {
+        if left < u64::from(*weight) {
+            return Some(service);
+        }
+        left -= u64::from(*weight);
+    }
+    None
+}
--- a/stoatjunction_core/src/lib.rs
+++ b/stoatjunction_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arena;
 pub mod claim;
 pub mod code;
+pub mod entry;
 pub mod estimate;
 pub mod hash;
 pub mod id;
--- /dev/null
+++ b/stoatjunction_entry/src/board.rs
@@ -0,0 +1,371 @@
+//! The blackboard: what the controllers of the daemon know and share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use stoatjunction_core::entry::budget::Budget;
+use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::limit::Limits;
+use stoatjunction_core::entry::health::Outcome;
+use stoatjunction_core::entry::pool::{Need, NodeKey, Pool, RunKey, Verdict};
+use stoatjunction_core::entry::queue::{CallId, Queue};
+use stoatjunction_core::entry::route::Routes;
+use stoatjunction_core::entry::suspects::{Break, Suspects};
+use stoatjunction_core::entry::view::View;
+use stoatjunction_core::hash;
+use stoatjunction_core::time::{Span, Time};
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock;
+use crate::connections::Connections;
+use crate::names::Names;
+use crate::settings::EntrySettings;
+
+/// How far the daemon has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    #[default]
+    Serving,
+    /// It serves what still comes and asks for nothing new.
+    Leaving,
+    /// It only finishes what it has.
+    Closing,
+}
+
+/// A service's pool with its queue.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    pub(crate) pool: Pool,
+    pub(crate) queue: Queue,
+    waiters: IndexMap<CallId, oneshot::Sender<Result<(NodeKey, RunKey), Span>>>,
+}
+
+/// What another host said last.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) boot: u64,
+    pub(crate) heard: Time,
+    pub(crate) dc: String,
+}
+
+/// What the controllers know.
+#[derive(Debug)]
+pub(crate) struct Board {
+    pub(crate) phase: Phase,
+    pub(crate) routes: Option<Rc<Routes>>,
+    pub(crate) view: View,
+    pub(crate) has_list: bool,
+    pub(crate) desks: IndexMap<String, Desk>,
+    pub(crate) limits: Limits,
+    pub(crate) budget: Budget,
+    pub(crate) suspects: Suspects,
+    pub(crate) news: News,
+    pub(crate) peers: IndexMap<std::net::IpAddr, Peer>,
+    pub(crate) store_failed: Option<Time>,
+    /// True while another host is asked for its view.
+    pub(crate) asking: bool,
+    full_deadlines: IndexMap<String, Span>,
+    next_call: CallId,
+}
+
+/// What the other hosts have not been told yet.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    pub(crate) breaks: Vec<(Break, u8)>,
+    pub(crate) parts: Vec<(u32, u64)>,
+    pub(crate) changed: bool,
+}
+
+/// Everything that a controller needs.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub(crate) settings: EntrySettings,
+    pub(crate) names: Names,
+    pub(crate) boot: u64,
+    pub(crate) board: RefCell<Board>,
+    pub(crate) connections: Connections,
+    pub(crate) changed: Notify,
+    pub(crate) in_progress: Cell<usize>,
+}
+
+impl Context {
+    pub(crate) fn new(settings: EntrySettings, names: Names) -> Context {
+        let board = Board {
+            phase: Phase::Serving,
+            routes: None,
+            view: View::default(),
+            has_list: false,
+            desks: IndexMap::new(),
+            limits: Limits::new(),
+            budget: Budget::new(settings.budget),
+            suspects: Suspects::default(),
+            news: News::default(),
+            peers: IndexMap::new(),
+            store_failed: None,
+            asking: false,
+            full_deadlines: IndexMap::new(),
+            next_call: 0,
+        };
+        Context {
+            settings,
+            names,
+            boot: fastrand::u64(..),
+            board: RefCell::new(board),
+            connections: Connections::default(),
+            changed: Notify::new(),
+            in_progress: Cell::new(0),
+        }
+    }
+
+    /// Puts a newer configuration in force; true when it was newer.
+    pub(crate) fn configure(&self, cfg: Configuration) -> bool {
+        let mut board = self.board.borrow_mut();
+        let known = board.routes.as_ref().map(|r| r.cfg().version);
+        if known.is_some_and(|v| v >= cfg.version) {
+            return false;
+        }
+        let now = clock::now();
+        log::info!(
+            "event=configured version={} routes={} organisations={}",
+            cfg.version,
+            cfg.routes.len(),
+            cfg.organisations.len()
+        );
+        for o in &cfg.organisations {
+            let id = hash::hash_parts(&[o.name.as_bytes()]);
+            board.limits.set(id, o.rate, o.burst, now);
+        }
+        board.routes = Some(Rc::new(Routes::new(cfg)));
+        board.spread_nodes(&self.settings.dc, self.boot, now);
+        drop(board);
+        self.poll();
+        true
+    }
+
+    /// Lets the pools follow the list of upstreams.
+    pub(crate) fn list_changed(&self) {
+        let now = clock::now();
+        let mut board = self.board.borrow_mut();
+        board.spread_nodes(&self.settings.dc, self.boot, now);
+        drop(board);
+        self.poll();
+        let board = self.board.borrow();
+        let listed: Vec<&str> = board.view.listed().map(|l| l.id.as_str()).collect();
+        self.connections.sweep(|id| listed.contains(&id));
+    }
+
+    /// Decides on waiting calls until nothing more can be decided.
+    pub(crate) fn poll(&self) {
+        let now = clock::now();
+        let mut board = self.board.borrow_mut();
+        for desk in board.desks.values_mut() {
+            desk.settle(now);
+        }
+    }
+
+    /// Waits for a place for a call of `service` and takes it.
+    ///
+    /// # Errors
+    ///
+    /// The time after which there may be room, when the call is refused.
+    pub(crate) async fn place(
+        self: &Rc<Self>,
+        service: &str,
+        need: Need,
+    ) -> Result<Placed, Span> {
+        let now = clock::now();
+        let (id, rx) = {
+            let mut board = self.board.borrow_mut();
+            let id = board.next_call;
+            board.next_call += 1;
+            let Some(desk) = board.desks.get_mut(service) else {
+                return Err(NO_SERVICE);
+            };
+            if !desk.queue.is_ahead(&need) {
+                match desk.pool.decide(&need, now) {
+                    Verdict::Wait => {}
+                    Verdict::Refuse(retry) => return Err(retry),
+                    Verdict::Place(key) => {
+                        let run = desk.pool.started(key, &need.prompt, now);
+                        return Ok(Placed::new(self, service, key, run));
+                    }
+                }
+            }
+            let (tx, rx) = oneshot::channel();
+            desk.queue.push(id, need);
+            desk.waiters.insert(id, tx);
+            (id, rx)
+        };
+        let _leave = Leave {
+            cx: self,
+            service,
+            id,
+        };
+        match rx.await {
+            Ok(Ok((key, run))) => Ok(Placed::new(self, service, key, run)),
+            Ok(Err(retry)) => Err(retry),
+            Err(_) => Err(NO_SERVICE),
+        }
+    }
+
+    /// Number of hosts that are known, and of those heard of late, this one included.
+    pub(crate) fn reach(&self) -> (usize, usize) {
+        let board = self.board.borrow();
+        let now = clock::now();
+        let heard = board
+            .peers
+            .values()
+            .filter(|p| now.since(p.heard) < PEER_SILENT);
+        (heard.count() + 1, board.peers.len() + 1)
+    }
+}
+
+/// Advice to callers of a service that has no pool.
+const NO_SERVICE: Span = Span::from_millis(1_000);
+/// Silence after which another host counts as out of reach.
+pub(crate) const PEER_SILENT: Span = Span::from_millis(1_000);
+
+/// Takes a call out of its queue when its caller leaves.
+struct Leave<'a> {
+    cx: &'a Context,
+    service: &'a str,
+    id: CallId,
+}
+
+impl Drop for Leave<'_> {
+    fn drop(&mut self) {
+        let mut board = self.cx.board.borrow_mut();
+        if let Some(desk) = board.desks.get_mut(self.service)
+            && desk.waiters.swap_remove(&self.id).is_some()
+        {
+            desk.queue.remove(self.id);
+        }
+    }
+}
+
+impl Board {
+    fn spread_nodes(&mut self, dc: &str, seed: u64, now: Time) {
+        let Some(routes) = self.routes.clone() else {
+            return;
+        };
+        let services = &routes.cfg().services;
+        for name in services.keys() {
+            let desk = self.desks.entry(name.clone()).or_insert_with(|| Desk {
+                pool: Pool::new(dc, seed),
+                queue: Queue::default(),
+                waiters: IndexMap::new(),
+            });
+            let listed = self.view.listed().filter(|l| l.service == *name);
+            desk.pool.set_nodes(listed, now);
+        }
+    }
+
+    /// Time that a returning caller has already spent: the longest deadline seen on the route, less
+    /// this one.
+    pub(crate) fn elapsed(&mut self, route: &str, deadline: Span) -> Span {
+        let full = self.full_deadlines.entry(route.to_owned()).or_default();
+        *full = (*full).max(deadline);
+        let spent = *full - deadline;
+        if spent < RETURNED { Span::ZERO } else { spent }
+    }
+
+}
+
+/// Time by which a deadline has to be short of the longest for its caller to count as returned.
+const RETURNED: Span = Span::from_millis(40);
+
+/// A number for an upstream that hosts use among themselves.
+pub(crate) fn node_id(id: &str, born: u64) -> u64 {
+    hash::hash_parts(&[id.as_bytes(), &born.to_le_bytes()])
+}
+
+impl Desk {
+    fn settle(&mut self, now: Time) {
+        while let Some((id, need, verdict)) = self.queue.next(&mut self.pool, now) {
+            let decided = match verdict {
+                Verdict::Place(key) => {
+                    let run = self.pool.started(key, &need.prompt, now);
+                    Ok((key, run))
+                }
+                Verdict::Refuse(retry) => Err(retry),
+                Verdict::Wait => continue,
+            };
+            let waiter = self.waiters.swap_remove(&id);
+            let unsent = waiter.map_or(Some(decided), |tx| tx.send(decided).err());
+            if let Some(Ok((_, run))) = unsent {
+                self.pool.ended(run, None, now);
+            }
+        }
+    }
+}
+
+/// A place on an upstream. Dropping it frees the place.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    cx: Rc<Context>,
+    service: String,
+    /// The upstream.
+    pub(crate) key: NodeKey,
+    run: RunKey,
+    outcome: Option<Outcome>,
+}
+
+impl Placed {
+    fn new(cx: &Rc<Context>, service: &str, key: NodeKey, run: RunKey) -> Placed {
+        cx.board.borrow_mut().news.changed = true;
+        cx.changed.notify_one();
+        Placed {
+            cx: cx.clone(),
+            service: service.to_owned(),
+            key,
+            run,
+            outcome: None,
+        }
+    }
+
+    /// The service.
+    pub(crate) fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// Records the first event, or the head of a plain answer.
+    pub(crate) fn first(&self) {
+        self.with_pool(|pool| pool.first(self.run, clock::now()));
+    }
+
+    /// Records what the upstream said of its load.
+    pub(crate) fn reported(&self, running: u32, waiting: u32) {
+        self.with_pool(|pool| pool.reported(self.key, running, waiting, clock::now()));
+    }
+
+    /// Records an outcome before the end of the run.
+    pub(crate) fn observe(&self, outcome: Outcome) {
+        self.with_pool(|pool| pool.observe(self.key, outcome, clock::now()));
+    }
+
+    /// Ends the run with an outcome.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.outcome = Some(outcome);
+    }
+
+    fn with_pool<F>(&self, f: F)
+    where
+        F: FnOnce(&mut Pool),
+    {
+        let mut board = self.cx.board.borrow_mut();
+        if let Some(desk) = board.desks.get_mut(&self.service) {
+            f(&mut desk.pool);
+        }
+    }
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        self.with_pool(|pool| pool.ended(self.run, self.outcome, clock::now()));
+        self.cx.board.borrow_mut().news.changed = true;
+        self.cx.changed.notify_one();
+        self.cx.poll();
+    }
+}
--- /dev/null
+++ b/stoatjunction_entry/src/exchange.rs
@@ -0,0 +1,182 @@
+//! One sending of a request to an upstream, up to the head of the answer.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_ENCODING, HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use stoatjunction_core::entry::config::Repeat;
+use stoatjunction_core::entry::health::Outcome;
+use stoatjunction_core::time::{Span, Time};
+
+use crate::board::{Context, Placed};
+use crate::clock;
+use crate::connections::{self, Connection};
+use crate::names::Names;
+
+/// What is sent, the same at every attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Message {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) id: Option<HeaderValue>,
+}
+
+/// Where a message goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) id: String,
+    pub(crate) addr: String,
+}
+
+/// The head of an answer with the connection that brings its body.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) stated_idle: Option<Span>,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoAnswer {
+    /// Nothing was sent.
+    NotSent,
+    /// The time for the request had passed before it was sent; nothing was sent.
+    TooLate,
+    /// The upstream says that it did not run the request.
+    NotRun { status: u16 },
+    /// The upstream may have run the request.
+    Broken,
+}
+
+/// Sends `message` and waits for the head of the answer.
+pub(crate) async fn send(
+    cx: &Rc<Context>,
+    message: &Message,
+    target: &Target,
+    repeat: Repeat,
+    until: Time,
+    placed: &Placed,
+    sent: &dyn Fn(),
+) -> Result<Answer, NoAnswer> {
+    let kept = repeat
+        .is_idempotent()
+        .then(|| cx.connections.take(&target.id))
+        .flatten();
+    let mut connection = match kept {
+        Some(kept) => kept,
+        None => connections::open(&target.addr).await.map_err(|e| {
+            log::info!("event=unreachable upstream={} reason={e}", target.id);
+            placed.observe(Outcome::Unreachable);
+            NoAnswer::NotSent
+        })?,
+    };
+    let left = clock::now().until(until);
+    if left < LEAST_LEFT {
+        return Err(NoAnswer::TooLate);
+    }
+    let req = request(message, target, left, &cx.names);
+    sent();
+    let answer = connection.sender.try_send_request(req).await;
+    let res = answer.map_err(|mut e| {
+        if e.take_message().is_some() {
+            return NoAnswer::NotSent;
+        }
+        log::info!("event=broken upstream={} reason={}", target.id, e.error());
+        NoAnswer::Broken
+    })?;
+    check(&cx.names, message, target, res, connection, placed)
+}
+
+/// Time left below which nothing is sent any more.
+const LEAST_LEFT: Span = Span::from_millis(5);
+
+fn request(message: &Message, target: &Target, left: Span, names: &Names) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(message.body.clone()));
+    *req.method_mut() = message.method.clone();
+    *req.uri_mut() = message.uri.clone();
+    *req.headers_mut() = message.headers.clone();
+    let headers = req.headers_mut();
+    headers.insert(names.deadline.clone(), HeaderValue::from(left.as_millis()));
+    if let Ok(id) = HeaderValue::from_str(&target.id) {
+        headers.insert(names.expected_upstream.clone(), id);
+    }
+    if !headers.contains_key(HOST)
+        && let Ok(host) = HeaderValue::from_str(&target.addr)
+    {
+        headers.insert(HOST, host);
+    }
+    req
+}
+
+fn check(
+    names: &Names,
+    message: &Message,
+    target: &Target,
+    res: Response<Incoming>,
+    connection: Connection,
+    placed: &Placed,
+) -> Result<Answer, NoAnswer> {
+    let (head, body) = res.into_parts();
+    let echoed = head.headers.get(&names.request_id);
+    if echoed.is_some() && echoed != message.id.as_ref() {
+        log::info!("event=strange_answer upstream={}", target.id);
+        return Err(NoAnswer::Broken);
+    }
+    if let Some((running, waiting)) = load_of(&head.headers, names) {
+        placed.reported(running, waiting);
+    }
+    let status = head.status;
+    if status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_run) {
+        return Err(NoAnswer::NotRun {
+            status: status.as_u16(),
+        });
+    }
+    let has_receipt = head.headers.contains_key(&names.receipt);
+    let encoded = head.headers.get(CONTENT_ENCODING);
+    let is_encoded = encoded.is_some_and(|e| e != "identity");
+    if status.is_success() && (!has_receipt || is_encoded) {
+        log::info!("event=no_receipt upstream={}", target.id);
+        return Err(NoAnswer::Broken);
+    }
+    let stated_idle = idle_of(&head.headers);
+    Ok(Answer {
+        head,
+        body,
+        connection,
+        stated_idle,
+    })
+}
+
+/// Running and waiting requests that the upstream states.
+fn load_of(headers: &HeaderMap, names: &Names) -> Option<(u32, u32)> {
+    let text = headers.get(&names.load)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|n| n.trim().parse::<u32>());
+    let running = numbers.next()?.ok()?;
+    let waiting = numbers.next()?.ok()?;
+    Some((running, waiting))
+}
+
+/// The idle time that the upstream states for the connection; zero when it will close it.
+fn idle_of(headers: &HeaderMap) -> Option<Span> {
+    let closes = headers.get_all(CONNECTION).iter().any(|v| {
+        let text = v.to_str().unwrap_or_default();
+        text.split(',')
+            .any(|t| t.trim().eq_ignore_ascii_case("close"))
+    });
+    if closes {
+        return Some(Span::ZERO);
+    }
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
+    let seconds: u64 = timeout.trim().parse().ok()?;
+    Some(Span::from_millis(seconds * 1_000))
+}
--- /dev/null
+++ b/stoatjunction_entry/src/feed.rs
@@ -0,0 +1,202 @@
+//! Following the platform's store: the configuration and the list of upstreams.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::view::Entry;
+use stoatjunction_core::time::Span;
+use thiserror::Error;
+
+use crate::board::Context;
+use crate::clock;
+
+/// Longest time that a watch waits; an answer that is lost is noticed soon after.
+const WAIT: Duration = Duration::from_secs(4);
+/// First pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Time after a failed call in which entries that are missing may still come back.
+const UNSURE: Span = Span::from_millis(3_000);
+/// Pause between two looks at removals that are put off.
+const SETTLE: Duration = Duration::from_millis(200);
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    Configuration,
+    /// The list of upstreams.
+    Upstreams,
+}
+
+/// A change of what is followed.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// A configuration was accepted.
+    Configuration(Configuration),
+    /// An upstream's entry was written.
+    Upstream {
+        /// Name of the upstream.
+        id: String,
+        /// The entry.
+        entry: Entry,
+    },
+    /// An upstream's entry was removed.
+    Removed {
+        /// Name of the upstream.
+        id: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
+}
+
+/// Changes up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The revision from which to go on.
+    pub at: u64,
+    /// The changes in order, or everything there is.
+    pub changes: Vec<Change>,
+}
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum FeedError {
+    /// The history since the revision is gone.
+    #[error("history is gone")]
+    Gone,
+    /// The store did not answer, or not with what was asked for.
+    #[error("{0}")]
+    Failed(String),
+}
+
+/// Where changes come from.
+pub trait Source {
+    /// Everything there is of a topic.
+    fn list(&self, topic: Topic) -> impl Future<Output = Result<Changes, FeedError>>;
+
+    /// Changes of a topic since a revision, as soon as there are any or after `wait`.
+    fn watch(
+        &self,
+        topic: Topic,
+        since: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes, FeedError>>;
+}
+
+/// Follows one topic for as long as the daemon runs.
+pub(crate) async fn follow<S>(cx: Rc<Context>, source: Rc<S>, topic: Topic)
+where
+    S: Source,
+{
+    let mut pause = PAUSE;
+    loop {
+        match source.list(topic).await {
+            Ok(all) => {
+                pause = PAUSE;
+                let at = all.at;
+                replace(&cx, topic, all);
+                watch_from(&cx, &*source, topic, at).await;
+            }
+            Err(e) => {
+                failed(&cx, topic, &e);
+                tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+/// Takes changes in until a call fails.
+async fn watch_from<S>(cx: &Context, source: &S, topic: Topic, mut at: u64)
+where
+    S: Source,
+{
+    loop {
+        match source.watch(topic, at, WAIT).await {
+            Ok(some) => {
+                at = at.max(some.at);
+                apply(cx, some);
+            }
+            Err(FeedError::Gone) => {
+                log::info!("event=history_gone topic={topic:?} since={at}");
+                return;
+            }
+            Err(e) => {
+                failed(cx, topic, &e);
+                return;
+            }
+        }
+    }
+}
+
+fn failed(cx: &Context, topic: Topic, e: &FeedError) {
+    log::info!("event=store_failed topic={topic:?} reason={e}");
+    cx.board.borrow_mut().store_failed = Some(clock::now());
+}
+
+fn is_unsure(cx: &Context) -> bool {
+    let failed = cx.board.borrow().store_failed;
+    failed.is_some_and(|at| clock::now().since(at) < UNSURE)
+}
+
+fn replace(cx: &Context, topic: Topic, all: Changes) {
+    if topic == Topic::Configuration {
+        apply(cx, all);
+        return;
+    }
+    let unsure = is_unsure(cx);
+    let mut items = IndexMap::new();
+    for change in all.changes {
+        if let Change::Upstream { id, entry } = change {
+            items.insert(id, entry);
+        }
+    }
+    let news = {
+        let mut board = cx.board.borrow_mut();
+        board.has_list = true;
+        board.view.replace(items, all.at, unsure, clock::now())
+    };
+    if news {
+        cx.list_changed();
+    }
+}
+
+/// Takes changes in.
+pub(crate) fn apply(cx: &Context, some: Changes) {
+    let unsure = is_unsure(cx);
+    let mut news = false;
+    for change in some.changes {
+        match change {
+            Change::Configuration(cfg) => {
+                cx.configure(cfg);
+            }
+            Change::Upstream { id, entry } => {
+                news |= cx.board.borrow_mut().view.put(&id, entry);
+            }
+            Change::Removed { id, revision } => {
+                let now = clock::now();
+                let mut board = cx.board.borrow_mut();
+                news |= board.view.remove(&id, revision, unsure, now);
+            }
+        }
+    }
+    if news {
+        cx.list_changed();
+    }
+}
+
+/// Carries out removals that were put off.
+pub(crate) async fn settle(cx: Rc<Context>) {
+    loop {
+        tokio::time::sleep(SETTLE).await;
+        let news = cx.board.borrow_mut().view.settle(clock::now());
+        if news {
+            cx.list_changed();
+        }
+    }
+}
--- /dev/null
+++ b/stoatjunction_entry/src/lib.rs
@@ -0,0 +1,21 @@
+//! The entry daemon: one process a host that takes callers' requests by routes and forwards them.
+//!
+//! Everything runs on one thread. Controllers read and write the [`board`]; the decisions are those
+//! of [`stoatjunction_core::entry`].
+
+pub mod board;
+pub mod clock;
+mod connections;
+pub mod daemon;
+pub mod events;
+mod exchange;
+pub mod feed;
+mod forward;
+mod ingress;
+mod mirror;
+pub mod names;
+mod peers;
+mod pump;
+mod refusal;
+pub mod settings;
+mod sockets;
--- /dev/null
+++ b/stoatjunction_entry/src/settings.rs
@@ -0,0 +1,57 @@
+//! What the daemon has to be told.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use stoatjunction_core::entry::budget::BudgetRule;
+use stoatjunction_core::time::Span;
+
+/// Settings of an entry daemon.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of the host.
+    pub host: String,
+    /// Its data centre.
+    pub dc: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the host is ready.
+    pub ready: SocketAddr,
+    /// UDP port of beats between hosts, the same on all hosts.
+    pub beat_port: u16,
+    /// TCP port at which hosts give each other their view, the same on all hosts.
+    pub mirror_port: u16,
+    /// Hosts to begin with.
+    pub seeds: Vec<IpAddr>,
+    /// Budget of second sendings.
+    pub budget: BudgetRule,
+    /// Time from SIGTERM until the process has to be gone.
+    pub grace: Duration,
+    /// Open files the process may have.
+    pub files: usize,
+}
+
+impl Default for EntrySettings {
+    fn default() -> EntrySettings {
+        let loopback = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        EntrySettings {
+            host: "host".to_owned(),
+            dc: "dc".to_owned(),
+            ip: loopback,
+            callers: SocketAddr::new(loopback, 8_080),
+            ready: SocketAddr::new(loopback, 8_081),
+            beat_port: 8_090,
+            mirror_port: 8_091,
+            seeds: Vec::new(),
+            budget: BudgetRule {
+                ratio: 0.2,
+                extra: 20.0,
+                window: Span::from_millis(10_000),
+            },
+            grace: Duration::from_secs(8),
+            files: 4_096,
+        }
+    }
+}
