--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock;
-use crate::connections::Connections;
+use crate::connections::{Connection, Connections};
 use crate::names::Names;
 use crate::settings::EntrySettings;
 
@@ -34,12 +34,22 @@
     Closing,
 }
 
+/// A decision that a waiting call gets.
+type Decided = Result<(NodeKey, RunKey), Span>;
+
+/// What becomes of a call that asks for a place.
+enum Asked {
+    Placed(NodeKey, RunKey),
+    Refused(Span),
+    Waits(CallId, oneshot::Receiver<Decided>),
+}
+
 /// A service's pool with its queue.
 #[derive(Debug)]
 pub(crate) struct Desk {
     pub(crate) pool: Pool,
     pub(crate) queue: Queue,
-    waiters: IndexMap<CallId, oneshot::Sender<Result<(NodeKey, RunKey), Span>>>,
+    waiters: IndexMap<CallId, oneshot::Sender<Decided>>,
 }
 
 /// What another host said last.
@@ -149,6 +159,12 @@
         let now = clock::now();
         let mut board = self.board.borrow_mut();
         board.spread_nodes(&self.settings.dc, self.boot, now);
+        let draining = board.view.listed().filter(|l| l.draining).count();
+        log::info!(
+            "event=upstreams listed={} draining={draining} revision={}",
+            board.view.listed().count(),
+            board.view.revision()
+        );
         drop(board);
         self.poll();
         let board = self.board.borrow();
@@ -175,28 +191,10 @@
         service: &str,
         need: Need,
     ) -> Result<Placed, Span> {
-        let now = clock::now();
-        let (id, rx) = {
-            let mut board = self.board.borrow_mut();
-            let id = board.next_call;
-            board.next_call += 1;
-            let Some(desk) = board.desks.get_mut(service) else {
-                return Err(NO_SERVICE);
-            };
-            if !desk.queue.is_ahead(&need) {
-                match desk.pool.decide(&need, now) {
-                    Verdict::Wait => {}
-                    Verdict::Refuse(retry) => return Err(retry),
-                    Verdict::Place(key) => {
-                        let run = desk.pool.started(key, &need.prompt, now);
-                        return Ok(Placed::new(self, service, key, run));
-                    }
-                }
-            }
-            let (tx, rx) = oneshot::channel();
-            desk.queue.push(id, need);
-            desk.waiters.insert(id, tx);
-            (id, rx)
+        let (id, rx) = match self.ask(service, need) {
+            Asked::Placed(key, run) => return Ok(Placed::new(self, service, key, run)),
+            Asked::Refused(retry) => return Err(retry),
+            Asked::Waits(id, rx) => (id, rx),
         };
         let _leave = Leave {
             cx: self,
@@ -210,6 +208,49 @@
         }
     }
 
+    fn ask(&self, service: &str, need: Need) -> Asked {
+        let now = clock::now();
+        let mut board = self.board.borrow_mut();
+        let id = board.next_call;
+        board.next_call += 1;
+        let Some(desk) = board.desks.get_mut(service) else {
+            return Asked::Refused(NO_SERVICE);
+        };
+        if !desk.queue.is_ahead(&need) {
+            match desk.pool.decide(&need, now) {
+                Verdict::Wait => {}
+                Verdict::Refuse(retry) => return Asked::Refused(retry),
+                Verdict::Place(key) => {
+                    let run = desk.pool.started(key, &need.prompt, now);
+                    return Asked::Placed(key, run);
+                }
+            }
+        }
+        let (tx, rx) = oneshot::channel();
+        desk.queue.push(id, need);
+        desk.waiters.insert(id, tx);
+        Asked::Waits(id, rx)
+    }
+
+    /// Keeps a connection for further requests, within this host's part of what an upstream accepts.
+    pub(crate) fn keep(
+        &self,
+        service: &str,
+        upstream: &str,
+        connection: Connection,
+        stated: Option<Span>,
+    ) {
+        let (_, known) = self.reach();
+        let accepted = {
+            let board = self.board.borrow();
+            let routes = board.routes.as_ref();
+            let service = routes.and_then(|r| r.cfg().services.get(service));
+            service.map_or(0, |s| s.connections as usize)
+        };
+        let most = (accepted / (KEPT_PART * known)).max(1);
+        self.connections.keep(upstream, connection, stated, most);
+    }
+
     /// Number of hosts that are known, and of those heard of late, this one included.
     pub(crate) fn reach(&self) -> (usize, usize) {
         let board = self.board.borrow();
@@ -222,6 +263,8 @@
     }
 }
 
+/// One in so many of the connections that an upstream accepts may be idle.
+const KEPT_PART: usize = 4;
 /// Advice to callers of a service that has no pool.
 const NO_SERVICE: Span = Span::from_millis(1_000);
 /// Silence after which another host counts as out of reach.
--- a/stoatjunction_entry/src/connections.rs
+++ b/stoatjunction_entry/src/connections.rs
@@ -18,8 +18,6 @@
 /// Longest wait for a connection. Data centres are a few milliseconds apart, and an upstream that
 /// takes longer has a full queue of connections or is gone.
 const CONNECT: Duration = Duration::from_millis(500);
-/// Idle connections kept for one upstream.
-const MOST_IDLE: usize = 24;
 /// Time for which an idle connection is used again when the upstream states none.
 const UNSTATED: Span = Span::from_millis(3_000);
 /// Time before the end of the stated one at which a connection is used no more.
@@ -64,16 +62,23 @@
         None
     }
 
-    /// Keeps a connection whose answer was whole. `stated` is the upstream's own idle time.
-    pub(crate) fn keep(&self, upstream: &str, connection: Connection, stated: Option<Span>) {
+    /// Keeps a connection whose answer was whole, when fewer than `most` are kept. `stated` is the
+    /// upstream's own idle time.
+    pub(crate) fn keep(
+        &self,
+        upstream: &str,
+        connection: Connection,
+        stated: Option<Span>,
+        most: usize,
+    ) {
         let idle_time = stated.map_or(UNSTATED, |s| s - MARGIN).min(UNSTATED);
         if idle_time == Span::ZERO {
             return;
         }
         let mut all = self.idle.borrow_mut();
         let idle = all.entry(upstream.to_owned()).or_default();
-        if idle.len() >= MOST_IDLE {
-            idle.remove(0);
+        if idle.len() >= most {
+            return;
         }
         idle.push(Idle {
             connection,
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -80,7 +80,7 @@
         Ok(res) => res,
         Err(refusal) => {
             let shown = id.as_ref().and_then(|i| i.to_str().ok());
-            log::debug!(
+            log::info!(
                 "event=refused request={} code={} after_ms={}",
                 shown.unwrap_or("-"),
                 refusal.code,
@@ -508,7 +508,7 @@
     placed.first();
     let is_error = status.is_server_error();
     placed.end(if is_error { Outcome::Error } else { Outcome::Good });
-    cx.connections.keep(&target.id, connection, stated_idle);
+    cx.keep(&call.service, &target.id, connection, stated_idle);
     if status.is_success() {
         cx.board.borrow_mut().suspects.ended(call.fingerprint);
     }
@@ -605,7 +605,8 @@
                 PartEnd::Whole => {
                     placed.end(Outcome::Good);
                     let idle = answer.stated_idle;
-                    self.cx.connections.keep(&target.id, answer.connection, idle);
+                    let service = &self.service;
+                    self.cx.keep(service, &target.id, answer.connection, idle);
                     self.cx
                         .board
                         .borrow_mut()
