Carry out removals of upstreams in time after an outage of the store

Ruled out: late watches (the host's log shows the removal at 26.012 s). Now 0.7 of drain-ms at most, copies of the same revision call nothing off and are not given to others.

--- a/stoatjunction_core/src/entry/view.rs
+++ b/stoatjunction_core/src/entry/view.rs
@@ -7,8 +7,6 @@
 use crate::hash;
 use crate::time::{Span, Time};
 
-/// Time after an outage of the platform in which entries that are missing may come back.
-pub const RETURN: Span = Span::from_millis(2_200);
 /// Time for which removals are remembered against older news of others.
 const REMEMBER: Span = Span::from_millis(60_000);
 
@@ -73,9 +71,11 @@
         self.entries.values().filter_map(|e| e.listed.as_ref())
     }
 
-    /// Entries, for another host.
-    pub fn entries(&self) -> &IndexMap<String, Entry> {
-        &self.entries
+    /// Entries for another host, without those whose removal is only put off.
+    pub fn lasting(&self) -> IndexMap<String, Entry> {
+        let mut entries = self.entries.clone();
+        entries.retain(|id, _| !self.pending.contains_key(id));
+        entries
     }
 
     /// Takes one change; true when it was news.
@@ -83,11 +83,7 @@
         self.revision = self.revision.max(entry.revision);
         let known = self.entries.get(id).map(|e| e.revision);
         let gone = self.removed.get(id).map(|(r, _)| *r);
-        if known.is_some_and(|r| r >= entry.revision) {
-            self.pending.shift_remove(id);
-            return false;
-        }
-        if gone.is_some_and(|r| r >= entry.revision) {
+        if known.max(gone).is_some_and(|r| r >= entry.revision) {
             return false;
         }
         self.pending.shift_remove(id);
@@ -96,15 +92,15 @@
         true
     }
 
-    /// Takes a removal at `revision`. While `unsure`, right after an outage of the platform, the
-    /// entry stays for [`RETURN`], since it may come back.
-    pub fn remove(&mut self, id: &str, revision: u64, unsure: bool, now: Time) -> bool {
+    /// Takes a removal at `revision`. Right after an outage of the platform an entry may come back:
+    /// it then stays for the time of `put_off`.
+    pub fn remove(&mut self, id: &str, revision: u64, put_off: Option<Span>, now: Time) -> bool {
         self.revision = self.revision.max(revision);
         if self.entries.get(id).is_none_or(|e| e.revision > revision) {
             return false;
         }
-        if unsure {
-            let until = (revision, now + RETURN);
+        if let Some(put_off) = put_off {
+            let until = (revision, now + put_off);
             self.pending.entry(id.to_owned()).or_insert(until);
             return false;
         }
@@ -119,7 +115,7 @@
         &mut self,
         items: IndexMap<String, Entry>,
         revision: u64,
-        unsure: bool,
+        put_off: Option<Span>,
         now: Time,
     ) -> bool {
         let missing: Vec<String> = self
@@ -130,7 +126,7 @@
             .collect();
         let mut news = false;
         for id in missing {
-            news |= self.remove(&id, revision, unsure, now);
+            news |= self.remove(&id, revision, put_off, now);
         }
         for (id, entry) in items {
             news |= self.put(&id, entry);
@@ -150,7 +146,7 @@
             .collect();
         let mut news = false;
         for (id, revision) in due {
-            news |= self.remove(&id, revision, false, now);
+            news |= self.remove(&id, revision, None, now);
         }
         news
     }
--- a/stoatjunction_entry/src/feed.rs
+++ b/stoatjunction_entry/src/feed.rs
@@ -21,8 +21,10 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Time after a failed call in which entries that are missing may still come back.
 const UNSURE: Span = Span::from_millis(3_000);
+/// Part of the time to drain by which removals are put off at most.
+const PUT_OFF_PART: f64 = 0.7;
 /// Pause between two looks at removals that are put off.
-const SETTLE: Duration = Duration::from_millis(200);
+const SETTLE: Duration = Duration::from_millis(100);
 
 /// What is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,9 +141,13 @@
     cx.board.borrow_mut().store_failed = Some(clock::now());
 }
 
-fn is_unsure(cx: &Context) -> bool {
+/// Time by which removals are put off, right after the store could not be reached: entries that
+/// expired meanwhile may come back. What is gone for good must still get no work in time.
+fn put_off(cx: &Context) -> Option<Span> {
     let failed = cx.board.borrow().store_failed;
-    failed.is_some_and(|at| clock::now().since(at) < UNSURE)
+    let unsure = failed.is_some_and(|at| clock::now().since(at) < UNSURE);
+    let drain = cx.settings.drain.0 as f64;
+    unsure.then_some(Span((drain * PUT_OFF_PART) as u64))
 }
 
 fn replace(cx: &Context, topic: Topic, all: Changes) {
@@ -149,7 +155,7 @@
         apply(cx, all);
         return;
     }
-    let unsure = is_unsure(cx);
+    let put_off = put_off(cx);
     let mut items = IndexMap::new();
     for change in all.changes {
         if let Change::Upstream { id, entry } = change {
@@ -159,7 +165,7 @@
     let news = {
         let mut board = cx.board.borrow_mut();
         board.has_list = true;
-        board.view.replace(items, all.at, unsure, clock::now())
+        board.view.replace(items, all.at, put_off, clock::now())
     };
     if news {
         cx.list_changed();
@@ -168,7 +174,7 @@
 
 /// Takes changes in.
 pub(crate) fn apply(cx: &Context, some: Changes) {
-    let unsure = is_unsure(cx);
+    let put_off = put_off(cx);
     let mut news = false;
     for change in some.changes {
         match change {
@@ -181,7 +187,7 @@
             Change::Removed { id, revision } => {
                 let now = clock::now();
                 let mut board = cx.board.borrow_mut();
-                news |= board.view.remove(&id, revision, unsure, now);
+                news |= board.view.remove(&id, revision, put_off, now);
             }
         }
     }
--- a/stoatjunction_entry/src/mirror.rs
+++ b/stoatjunction_entry/src/mirror.rs
@@ -54,7 +54,7 @@
             let board = cx.board.borrow();
             Mirrored {
                 cfg: board.routes.as_ref().map(|r| r.cfg().clone()),
-                entries: board.view.entries().clone(),
+                entries: board.view.lasting(),
                 revision: board.view.revision(),
                 has_list: board.has_list,
             }
@@ -91,7 +91,7 @@
         let now = clock::now();
         board
             .view
-            .replace(mirrored.entries, mirrored.revision, false, now)
+            .replace(mirrored.entries, mirrored.revision, None, now)
     };
     if news {
         cx.list_changed();
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -27,6 +27,8 @@
     pub seeds: Vec<IpAddr>,
     /// Budget of second sendings.
     pub budget: BudgetRule,
+    /// Time in which an upstream that leaves must get no more work.
+    pub drain: Span,
     /// Time from SIGTERM until the process has to be gone.
     pub grace: Duration,
     /// Open files the process may have.
@@ -50,6 +52,7 @@
                 extra: 20.0,
                 window: Span::from_millis(10_000),
             },
+            drain: Span::from_millis(2_000),
             grace: Duration::from_secs(8),
             files: 4_096,
         }
