Draw for free places among the queues of all hosts

Ruled out: unused places (5 of 168 free throughout the burst). Hosts now tell what waits by rank, and a call takes a place by a draw over all queues, the more urgent first.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -108,8 +108,26 @@
     pub idempotent: bool,
     /// Upstreams it was already sent to.
     pub tried: Vec<NodeKey>,
+    /// Random number of the call, for draws among calls of equal rank.
+    pub salt: u64,
 }
 
+/// Place of a call in the order of all waiting calls; lower goes first.
+pub type Order = u8;
+
+impl Need {
+    /// Place of the call in the order of all waiting calls.
+    pub fn order(&self) -> Order {
+        let late = if self.late { LATE_ORDER } else { 0 };
+        late + self.rank.0.min(MOST_RANK) * (MOST_RANK + 1) + self.rank.1.min(MOST_RANK)
+    }
+}
+
+/// Highest rank that is told apart.
+const MOST_RANK: u8 = 7;
+/// Order of the most urgent late call.
+const LATE_ORDER: Order = 128;
+
 /// What to do with a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
@@ -132,8 +150,13 @@
     line: Line,
     run_ms: f64,
     seed: u64,
+    waiting: Counts,
+    rivals: IndexMap<u64, (Counts, Time)>,
 }
 
+/// Numbers of waiting calls by order.
+pub type Counts = Vec<(Order, u16)>;
+
 impl Pool {
     /// A pool without upstreams, seen from data centre `dc`. `seed` differs between hosts, so that
     /// they do not all choose the same of two equal upstreams.
@@ -147,6 +170,8 @@
             line: Line::default(),
             run_ms: RUN_HINT,
             seed,
+            waiting: Counts::new(),
+            rivals: IndexMap::new(),
         }
     }
 
@@ -281,7 +306,7 @@
         if !need.late && first_event > need.in_time {
             return Verdict::Refuse(self.backlog(now));
         }
-        if has_place && self.has_spare(need, now) {
+        if has_place && self.has_spare(need, now) && self.has_turn(need, now) {
             return Verdict::Place(key);
         }
         if now >= need.wait_until {
@@ -315,6 +340,48 @@
         f64::from(self.free(now)) > RESERVE * steps * places
     }
 
+    /// Draws for the free places among the waiting calls of all hosts, the more urgent first, so
+    /// that places which become free at once are not taken by every host.
+    fn has_turn(&self, need: &Need, now: Time) -> bool {
+        let order = need.order();
+        let fresh = self.rivals.values();
+        let fresh = fresh.filter(|(_, at)| now.since(*at) < RIVAL_AGE);
+        let (mut ahead, mut same) = (0_u32, 0_u32);
+        for (counts, _) in fresh {
+            for (other, n) in counts {
+                match other.cmp(&order) {
+                    std::cmp::Ordering::Less => ahead += u32::from(*n),
+                    std::cmp::Ordering::Equal => same += u32::from(*n),
+                    std::cmp::Ordering::Greater => {}
+                }
+            }
+        }
+        if same == 0 && ahead == 0 {
+            return true;
+        }
+        let own = self.waiting.iter().find(|(o, _)| *o == order);
+        let own = own.map_or(1, |(_, n)| u32::from(*n).max(1));
+        let left = f64::from(self.free(now).saturating_sub(ahead));
+        let draw = crate::hash::mix(need.salt ^ (now.0 / TURN.0)) >> 40;
+        let draw = draw as f64 / (1_u64 << 24) as f64;
+        draw * f64::from(same + own) < left
+    }
+
+    /// Takes in what waits on this host.
+    pub fn set_waiting(&mut self, waiting: Counts) {
+        self.waiting = waiting;
+    }
+
+    /// Calls that wait on this host.
+    pub fn waiting(&self) -> &Counts {
+        &self.waiting
+    }
+
+    /// Takes in what waits on another host.
+    pub fn heard_waiting(&mut self, peer: u64, waiting: Counts, now: Time) {
+        self.rivals.insert(peer, (waiting, now));
+    }
+
     /// Time after which a call that is refused now may find room.
     pub fn backlog(&self, now: Time) -> Span {
         let over: f64 = self
@@ -438,9 +505,14 @@
         for (_, node) in self.nodes.iter_mut() {
             node.others.swap_remove(&peer);
         }
+        self.rivals.swap_remove(&peer);
     }
 }
 
+/// Time after which another host's word on its queue counts no more.
+const RIVAL_AGE: Span = Span::from_millis(400);
+/// Time between two draws; the others have heard of the first by then.
+const TURN: Span = Span::from_millis(30);
 /// Part of all places that each step of rank leaves free.
 const RESERVE: f64 = 0.02;
 
--- a/stoatjunction_core/src/entry/queue.rs
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -1,6 +1,6 @@
 //! Calls of one host that wait for a place, by rank and then by the time left to be in time.
 
-use super::pool::{Need, Pool, Verdict};
+use super::pool::{Counts, Need, Order, Pool, Verdict};
 use crate::time::Time;
 
 /// Names a waiting call.
@@ -49,9 +49,23 @@
         self.waiting.is_empty()
     }
 
+    /// Numbers of waiting calls by order.
+    fn counts(&self) -> Counts {
+        let mut counts = Counts::new();
+        for w in &self.waiting {
+            let order = w.need.order();
+            match counts.last_mut() {
+                Some((o, n)) if *o == order => *n = n.saturating_add(1),
+                _ => counts.push((order, 1)),
+            }
+        }
+        counts
+    }
+
     /// Takes out the most urgent call on which something is decided, with the decision. The caller
     /// records a placing in `pool` before it asks again.
     pub fn next(&mut self, pool: &mut Pool, now: Time) -> Option<(CallId, Need, Verdict)> {
+        pool.set_waiting(self.counts());
         let no_place = pool.free(now) == 0;
         for index in 0..self.waiting.len() {
             let need = &self.waiting[index].need;
@@ -69,6 +83,6 @@
     }
 }
 
-fn order(need: &Need) -> (bool, (u8, u8), Time) {
-    (need.late, need.rank, need.in_time)
+fn order(need: &Need) -> (Order, Time) {
+    (need.order(), need.in_time)
 }
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -257,6 +257,7 @@
             in_time: until,
             wait_until: until.back(Span(route.aim.0 / 2)),
             idempotent,
+            salt: fastrand::u64(..),
             ..Need::default()
         };
     }
@@ -272,6 +273,7 @@
         late,
         idempotent,
         tried: Vec::new(),
+        salt: fastrand::u64(..),
     }
 }
 
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::pool::Load;
+use stoatjunction_core::entry::pool::{Counts, Load};
 use stoatjunction_core::entry::suspects::Break;
 use stoatjunction_core::time::Span;
 use tokio::net::UdpSocket;
@@ -38,6 +38,8 @@
     revision: u64,
     digest: u64,
     loads: Vec<NodeLoad>,
+    /// Waiting calls by order, by service.
+    waiting: Vec<(String, Counts)>,
     usage: Vec<(u64, u64)>,
     breaks: Vec<(u64, u64)>,
     parts: Vec<(u32, u64)>,
@@ -119,6 +121,11 @@
             }
         }
     }
+    let waiting = board.desks.iter();
+    let waiting = waiting.filter(|(_, d)| !d.pool.waiting().is_empty());
+    let waiting = waiting
+        .map(|(service, d)| (service.clone(), d.pool.waiting().clone()))
+        .collect();
     let breaks = board.news.breaks.iter();
     let breaks = breaks.map(|(b, _)| (b.fingerprint, b.sending)).collect();
     for (_, left) in &mut board.news.breaks {
@@ -134,6 +141,7 @@
         revision: board.view.revision(),
         digest: board.view.digest(),
         loads,
+        waiting,
         usage: board.limits.usage(),
         breaks,
         parts: std::mem::take(&mut board.news.parts),
@@ -214,6 +222,11 @@
         };
         board.suspects.broke(b, now);
     }
+    for (service, desk) in &mut board.desks {
+        let told = beat.waiting.iter().find(|(s, _)| s == service);
+        let counts = told.map(|(_, counts)| counts.clone()).unwrap_or_default();
+        desk.pool.heard_waiting(beat.boot, counts, now);
+    }
     take_loads(board, beat.boot, &beat.loads, &beat.parts);
     let config = board.routes.as_ref().map_or(0, |r| r.cfg().version);
     let list_differs =
