Keep under one percent of the places for each step of rank

Cause: places kept free for the urgent cost more than they saved once free places are drawn for by rank.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -514,7 +514,7 @@
 /// Time between two draws; the others have heard of the first by then.
 const TURN: Span = Span::from_millis(30);
 /// Part of all places that each step of rank leaves free.
-const RESERVE: f64 = 0.02;
+const RESERVE: f64 = 0.008;
 
 impl Node {
     /// What this host runs here.
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -229,6 +229,7 @@
         let (tx, rx) = oneshot::channel();
         desk.queue.push(id, need);
         desk.waiters.insert(id, tx);
+        self.changed.notify_one();
         Asked::Waits(id, rx)
     }
 
