Let calls that cannot be in time run late instead of refusing them

Such a call now ranks behind all that can be in time, waits a quarter of its aim for room to spare, and is refused only then.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -102,6 +102,8 @@
     pub in_time: Time,
     /// Moment until which the call may wait for a place.
     pub wait_until: Time,
+    /// Time it may wait once it can no longer be in time.
+    pub late_wait: Span,
     /// True for a call that comes back after its time: it runs when there is room to spare.
     pub late: bool,
     /// True when the call may be sent again.
@@ -276,8 +278,9 @@
         f64::from(over) * self.run_ms * node.factor.get() / f64::from(slots)
     }
 
-    /// Decides on a call.
-    pub fn decide(&mut self, need: &Need, now: Time) -> Verdict {
+    /// Decides on a call. One that can no longer be in time becomes a late one: to come back would
+    /// gain it nothing, and it still gets a place when there is room to spare.
+    pub fn decide(&mut self, need: &mut Need, now: Time) -> Verdict {
         let mut best: Option<(f64, f64, NodeKey, bool)> = None;
         let mut open = 0;
         self.seed = crate::hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
@@ -304,7 +307,8 @@
         };
         let first_event = now + Span::from_secs_f64(ms / 1e3);
         if !need.late && first_event > need.in_time {
-            return Verdict::Refuse(self.backlog(now));
+            need.late = true;
+            need.wait_until = now + need.late_wait;
         }
         if has_place && self.has_spare(need, now) && self.has_turn(need, now) {
             return Verdict::Place(key);
--- a/stoatjunction_core/src/entry/queue.rs
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -67,17 +67,27 @@
     pub fn next(&mut self, pool: &mut Pool, now: Time) -> Option<(CallId, Need, Verdict)> {
         pool.set_waiting(self.counts());
         let no_place = pool.free(now) == 0;
-        for index in 0..self.waiting.len() {
-            let need = &self.waiting[index].need;
+        let mut index = 0;
+        while index < self.waiting.len() {
+            let waiting = &mut self.waiting[index];
+            let need = &waiting.need;
             let due = now >= need.wait_until || (!need.late && now >= need.in_time);
             if no_place && !due {
+                index += 1;
                 continue;
             }
-            let verdict = pool.decide(need, now);
+            let was_late = need.late;
+            let verdict = pool.decide(&mut waiting.need, now);
             if verdict != Verdict::Wait {
                 let waiting = self.waiting.remove(index);
                 return Some((waiting.id, waiting.need, verdict));
             }
+            if waiting.need.late == was_late {
+                index += 1;
+            } else {
+                let waiting = self.waiting.remove(index);
+                self.push(waiting.id, waiting.need);
+            }
         }
         None
     }
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -208,7 +208,7 @@
         }
     }
 
-    fn ask(&self, service: &str, need: Need) -> Asked {
+    fn ask(&self, service: &str, mut need: Need) -> Asked {
         let now = clock::now();
         let mut board = self.board.borrow_mut();
         let id = board.next_call;
@@ -217,7 +217,7 @@
             return Asked::Refused(NO_SERVICE);
         };
         if !desk.queue.is_ahead(&need) {
-            match desk.pool.decide(&need, now) {
+            match desk.pool.decide(&mut need, now) {
                 Verdict::Wait => {}
                 Verdict::Refuse(retry) => return Asked::Refused(retry),
                 Verdict::Place(key) => {
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -45,6 +45,8 @@
 const NOT_READY: Span = Span::from_millis(400);
 /// Longest wait of a call that comes back late.
 const LATE_WAIT: Span = Span::from_millis(1_000);
+/// Part of the aim for which a call waits once it can no longer be in time.
+const MISSED_WAIT: f64 = 0.25;
 /// Part of the aim that is planned with; the rest is for the way to the caller and for errors of
 /// the forecast.
 const PLANNED: f64 = 0.92;
@@ -270,6 +272,7 @@
         prompt: prompt.unwrap_or_default(),
         in_time,
         wait_until: wait_until.min(until),
+        late_wait: Span((route.aim.0 as f64 * MISSED_WAIT) as u64),
         late,
         idempotent,
         tried: Vec::new(),
