Admit beyond a limit only what is left over; take over levels at the start

Now hosts begin with 0.15, take over lower levels at the first hearing, and use no tolerance for their first ten seconds.

--- a/stoatjunction_core/src/entry/limit.rs
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -7,10 +7,33 @@
 use crate::time::{Span, Time};
 
 /// Part of a bucket that is full when a host starts, since others may just have used theirs.
-const START_LEVEL: f64 = 0.3;
+const START_LEVEL: f64 = 0.15;
+/// Time after its start in which a host knows too little of what was used before to
+/// admit anything beyond a limit.
+const YOUNG: Span = Span::from_millis(10_000);
+/// Time after its start in which a host takes over lower levels of others.
+const ADOPTS: Span = Span::from_millis(2_000);
 /// Longest advice to a caller over its limit.
 const MAX_WAIT: Span = Span::from_millis(10_000);
 
+/// Where a request stands against its organisation's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Within the limit.
+    Within,
+    /// Beyond the limit and within the leeway: nothing is owed, and it may have what is left over.
+    Beyond,
+}
+
+/// What may be admitted beyond the limits themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Leeway {
+    /// Part of the rate.
+    pub rate: f64,
+    /// Units beyond the burst.
+    pub units: f64,
+}
+
 #[derive(Clone, Debug)]
 struct Bucket {
     level: f64,
@@ -28,14 +51,19 @@
     buckets: IndexMap<u64, Bucket>,
     used: IndexMap<u64, u64>,
     heard: IndexMap<(u64, u64), u64>,
+    peers: IndexMap<u64, Time>,
     share: f64,
+    leeway: Leeway,
+    started: Time,
 }
 
 impl Limits {
     /// Limits of a host that is alone until it hears of others.
-    pub fn new() -> Limits {
+    pub fn new(leeway: Leeway, now: Time) -> Limits {
         Limits {
             share: 1.0,
+            leeway,
+            started: now,
             ..Limits::default()
         }
     }
@@ -46,7 +74,8 @@
             self.buckets.swap_remove(&organisation);
             return;
         }
-        let (rate, burst) = (rate as f64, burst.max(1) as f64);
+        let rate = rate as f64 * (1.0 + self.leeway.rate);
+        let burst = burst.max(1) as f64;
         let share = self.share;
         let bucket = self.buckets.entry(organisation).or_insert(Bucket {
             level: burst * START_LEVEL * share,
@@ -78,24 +107,34 @@
         self.share
     }
 
-    /// Takes `units` of an organisation's limit.
+    /// Takes `units` of an organisation's limit, or of the leeway beyond it.
     ///
     /// # Errors
     ///
     /// The time after which there will be room, when there is none.
-    pub fn take(&mut self, organisation: u64, units: u64, now: Time) -> Result<(), Span> {
+    pub fn take(&mut self, organisation: u64, units: u64, now: Time) -> Result<Standing, Span> {
         let share = self.share;
+        let young = now.since(self.started) < YOUNG;
+        let debt = if young {
+            0.0
+        } else {
+            self.leeway.units * share
+        };
+        let mut standing = Standing::Within;
         if let Some(bucket) = self.buckets.get_mut(&organisation) {
             bucket.refill(share, now);
             let need = (units as f64).min(bucket.burst * share);
             if bucket.level < need {
-                let wait = (need - bucket.level) / (bucket.rate * share);
+                standing = Standing::Beyond;
+            }
+            if bucket.level + debt < need {
+                let wait = (need - debt - bucket.level) / (bucket.rate * share);
                 return Err(Span::from_secs_f64(wait).min(MAX_WAIT));
             }
             bucket.level -= units as f64;
         }
         *self.used.entry(organisation).or_default() += units;
-        Ok(())
+        Ok(standing)
     }
 
     /// Gives back what a request took that was never sent.
@@ -112,11 +151,16 @@
         self.used.iter().map(|(o, n)| (*o, *n)).collect()
     }
 
-    /// Takes in what another boot of a host, named by `peer`, has used since its start.
-    pub fn hear(&mut self, peer: u64, usage: &[(u64, u64)], now: Time) {
+    /// Takes in what another boot of a host, named by `peer`, has used since its start. At the
+    /// first hearing a host that has only started takes over the other's lower levels instead.
+    pub fn hear(&mut self, peer: u64, usage: &[(u64, u64)], levels: &[(u64, f32)], now: Time) {
+        let first = self.peers.insert(peer, now).is_none();
+        if first {
+            self.adopt(levels, now);
+        }
         for (organisation, total) in usage {
             let before = self.heard.insert((peer, *organisation), *total);
-            let before = before.unwrap_or(*total);
+            let before = before.unwrap_or(if first { *total } else { 0 });
             let Some(bucket) = self.buckets.get_mut(organisation) else {
                 continue;
             };
@@ -126,9 +170,28 @@
         }
     }
 
+    /// What is left of each limit, for hosts that start.
+    pub fn levels(&self) -> Vec<(u64, f32)> {
+        let levels = self.buckets.iter();
+        levels.map(|(o, b)| (*o, b.level as f32)).collect()
+    }
+
+    fn adopt(&mut self, levels: &[(u64, f32)], now: Time) {
+        if now.since(self.started) >= ADOPTS {
+            return;
+        }
+        for (organisation, level) in levels {
+            if let Some(bucket) = self.buckets.get_mut(organisation) {
+                bucket.refill(self.share, now);
+                bucket.level = bucket.level.min(f64::from(*level));
+            }
+        }
+    }
+
     /// Forgets a boot of a host.
     pub fn forget(&mut self, peer: u64) {
         self.heard.retain(|(p, _), _| *p != peer);
+        self.peers.swap_remove(&peer);
     }
 }
 
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -329,7 +329,11 @@
     fn extra_cost(&self, node: &Node, key: NodeKey, unread: u32, now: Time) -> f64 {
         let slots = f64::from(node.listed.slots.max(1));
         let crowd = CROWD_MS * f64::from(node.running(now)) / slots;
-        let far = if node.listed.dc == self.dc { 0.0 } else { FAR_MS };
+        let far = if node.listed.dc == self.dc {
+            0.0
+        } else {
+            FAR_MS
+        };
         let neighbours = self.line.slope() * f64::from(unread) * NEIGHBOUR;
         let draw = crate::hash::mix(self.seed ^ u64::from(key.0)) >> 40;
         let spread = draw as f64 / (1_u64 << 24) as f64;
--- a/stoatjunction_core/src/entry/queue.rs
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -34,9 +34,7 @@
     /// True when a call at least as urgent as `need` waits.
     pub fn is_ahead(&self, need: &Need) -> bool {
         let key = order(need);
-        self.waiting
-            .first()
-            .is_some_and(|w| order(&w.need) <= key)
+        self.waiting.first().is_some_and(|w| order(&w.need) <= key)
     }
 
     /// Calls that wait.
--- a/stoatjunction_core/src/entry/suspects.rs
+++ b/stoatjunction_core/src/entry/suspects.rs
@@ -30,8 +30,7 @@
 impl Suspects {
     /// Takes in a break, of this host or another; true when it was news.
     pub fn broke(&mut self, b: Break, now: Time) -> bool {
-        self.known
-            .retain(|_, (_, at)| now.since(*at) <= REMEMBER);
+        self.known.retain(|_, (_, at)| now.since(*at) <= REMEMBER);
         if self.known.len() >= MAX_KNOWN {
             self.known.shift_remove_index(0);
         }
--- a/stoatjunction_core/src/entry/view.rs
+++ b/stoatjunction_core/src/entry/view.rs
@@ -60,7 +60,8 @@
         let mut sum = 0_u64;
         for (id, e) in &self.entries {
             let Some(l) = &e.listed else { continue };
-            let own = hash::hash_parts(&[id.as_bytes()]) ^ l.born.rotate_left(7) ^ u64::from(l.draining);
+            let own =
+                hash::hash_parts(&[id.as_bytes()]) ^ l.born.rotate_left(7) ^ u64::from(l.draining);
             sum = sum.wrapping_add(hash::mix(own));
         }
         sum
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 use stoatjunction_core::entry::budget::Budget;
 use stoatjunction_core::entry::config::Configuration;
-use stoatjunction_core::entry::limit::Limits;
 use stoatjunction_core::entry::health::Outcome;
+use stoatjunction_core::entry::limit::Limits;
 use stoatjunction_core::entry::pool::{Need, NodeKey, Pool, RunKey, Verdict};
 use stoatjunction_core::entry::queue::{CallId, Queue};
 use stoatjunction_core::entry::route::Routes;
@@ -108,7 +108,7 @@
             view: View::default(),
             has_list: false,
             desks: IndexMap::new(),
-            limits: Limits::new(),
+            limits: Limits::new(settings.leeway, clock::now()),
             budget: Budget::new(settings.budget),
             suspects: Suspects::default(),
             news: News::default(),
@@ -186,11 +186,7 @@
     /// # Errors
     ///
     /// The time after which there may be room, when the call is refused.
-    pub(crate) async fn place(
-        self: &Rc<Self>,
-        service: &str,
-        need: Need,
-    ) -> Result<Placed, Span> {
+    pub(crate) async fn place(self: &Rc<Self>, service: &str, need: Need) -> Result<Placed, Span> {
         let (id, rx) = match self.ask(service, need) {
             Asked::Placed(key, run) => return Ok(Placed::new(self, service, key, run)),
             Asked::Refused(retry) => return Err(retry),
@@ -314,7 +310,6 @@
         let spent = *full - deadline;
         if spent < RETURNED { Span::ZERO } else { spent }
     }
-
 }
 
 /// Time by which a deadline has to be short of the longest for its caller to count as returned.
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -68,7 +68,11 @@
     let mirror_at = sockets::listen(mirror_at)
         .into_diagnostic()
         .wrap_err("cannot listen for other hosts")?;
-    log::info!("event=started callers={} dc={}", settings.callers, settings.dc);
+    log::info!(
+        "event=started callers={} dc={}",
+        settings.callers,
+        settings.dc
+    );
     let (phase_tx, phase) = watch::channel(Phase::Serving);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(ingress::accept(cx.clone(), callers, phase)));
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -11,6 +11,7 @@
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::{Organisation, Repeat, Route};
 use stoatjunction_core::entry::health::Outcome;
+use stoatjunction_core::entry::limit::Standing;
 use stoatjunction_core::entry::parts::Part;
 use stoatjunction_core::entry::pool::Need;
 use stoatjunction_core::entry::route::{Denied, Routes, split};
@@ -186,10 +187,8 @@
     };
     let deadline = number(&names.deadline).map(Span::from_millis);
     let left = deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let service = split(&route, fastrand::f64()).ok_or(Refusal::later(
-        Code::NoUpstream,
-        Span::from_millis(1_000),
-    ))?;
+    let service = split(&route, fastrand::f64())
+        .ok_or(Refusal::later(Code::NoUpstream, Span::from_millis(1_000)))?;
     let service = service.to_owned();
     let tokens = head.headers.get(&names.tokens).and_then(token_counts);
     let units = units_of(organisation.as_ref(), tokens);
@@ -213,7 +212,7 @@
         body,
         id: head.headers.get(&names.request_id).cloned(),
     };
-    let call = Call {
+    let mut call = Call {
         message,
         service,
         organisation: organisation_id,
@@ -224,23 +223,27 @@
         events: Events::after(number(&names.last_event)),
         route,
     };
-    admit(cx, &call)?;
+    if admit(cx, &call)? == Standing::Beyond {
+        call.need.late = true;
+        call.need.wait_until = (arrived + call.need.late_wait).min(until);
+    }
     Ok(call)
 }
 
 /// Checks the organisation's limit and whether the request is known to break upstreams.
-fn admit(cx: &Rc<Context>, call: &Call) -> Result<(), Refusal> {
+fn admit(cx: &Rc<Context>, call: &Call) -> Result<Standing, Refusal> {
     let now = clock::now();
     let mut board = cx.board.borrow_mut();
     if board.suspects.is_barred(call.fingerprint) {
         return Err(Refusal::later(Code::Barred, Span::from_millis(10_000)));
     }
+    let mut standing = Standing::Within;
     if let Some(organisation) = call.organisation {
         let taken = board.limits.take(organisation, call.units, now);
-        taken.map_err(|wait| Refusal::later(Code::OverLimit, wait))?;
+        standing = taken.map_err(|wait| Refusal::later(Code::OverLimit, wait))?;
     }
     board.budget.request(&call.service, now);
-    Ok(())
+    Ok(standing)
 }
 
 fn need_of(
@@ -512,7 +515,11 @@
     };
     placed.first();
     let is_error = status.is_server_error();
-    placed.end(if is_error { Outcome::Error } else { Outcome::Good });
+    placed.end(if is_error {
+        Outcome::Error
+    } else {
+        Outcome::Good
+    });
     cx.keep(&call.service, &target.id, connection, stated_idle);
     if status.is_success() {
         cx.board.borrow_mut().suspects.ended(call.fingerprint);
@@ -612,11 +619,7 @@
                     let idle = answer.stated_idle;
                     let service = &self.service;
                     self.cx.keep(service, &target.id, answer.connection, idle);
-                    self.cx
-                        .board
-                        .borrow_mut()
-                        .suspects
-                        .ended(self.fingerprint);
+                    self.cx.board.borrow_mut().suspects.ended(self.fingerprint);
                     return true;
                 }
                 PartEnd::CallerGone => return true,
--- a/stoatjunction_entry/src/mirror.rs
+++ b/stoatjunction_entry/src/mirror.rs
@@ -47,7 +47,9 @@
 }
 
 async fn give(cx: &Context, stream: TcpStream) -> io::Result<()> {
-    let mut conn = h2::server::handshake(stream).await.map_err(io::Error::other)?;
+    let mut conn = h2::server::handshake(stream)
+        .await
+        .map_err(io::Error::other)?;
     while let Some(accepted) = conn.accept().await {
         let (_, mut respond) = accepted.map_err(io::Error::other)?;
         let mirrored = {
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -41,6 +41,7 @@
     /// Waiting calls by order, by service.
     waiting: Vec<(String, Counts)>,
     usage: Vec<(u64, u64)>,
+    levels: Vec<(u64, f32)>,
     breaks: Vec<(u64, u64)>,
     parts: Vec<(u32, u64)>,
     hosts: Vec<IpAddr>,
@@ -143,6 +144,7 @@
         loads,
         waiting,
         usage: board.limits.usage(),
+        levels: board.limits.levels(),
         breaks,
         parts: std::mem::take(&mut board.news.parts),
         hosts,
@@ -214,7 +216,7 @@
             board.peers.insert(ip, Peer { boot, heard, dc });
         }
     }
-    board.limits.hear(beat.boot, &beat.usage, now);
+    board.limits.hear(beat.boot, &beat.usage, &beat.levels, now);
     for (fingerprint, sending) in beat.breaks {
         let b = Break {
             fingerprint,
@@ -229,8 +231,7 @@
     }
     take_loads(board, beat.boot, &beat.loads, &beat.parts);
     let config = board.routes.as_ref().map_or(0, |r| r.cfg().version);
-    let list_differs =
-        beat.revision > board.view.revision() && beat.digest != board.view.digest();
+    let list_differs = beat.revision > board.view.revision() && beat.digest != board.view.digest();
     drop(guard);
     if beat.config > config || list_differs {
         tokio::task::spawn_local(catch_up(cx.clone(), from, beat.config, beat.digest));
@@ -259,8 +260,7 @@
             });
             desk.pool.heard(boot, key, load, now);
             if let Some(l) = told.filter(|l| l.observed >= TOLD_FROM) {
-                desk.pool
-                    .heard_factor(key, f64::from(l.factor), l.observed);
+                desk.pool.heard_factor(key, f64::from(l.factor), l.observed);
             }
             for (part, _) in parts.iter().filter(|(_, node)| *node == id) {
                 desk.pool.heard_part(*part, key, now);
--- a/stoatjunction_entry/src/pump.rs
+++ b/stoatjunction_entry/src/pump.rs
@@ -49,7 +49,9 @@
                 let content = content.take().filter(|c| !c.is_empty());
                 Poll::Ready(content.map(|c| Ok(Frame::data(c))))
             }
-            Body::Stream(rx) => rx.poll_recv(cx).map(|piece| piece.map(|p| p.map(Frame::data))),
+            Body::Stream(rx) => rx
+                .poll_recv(cx)
+                .map(|piece| piece.map(|p| p.map(Frame::data))),
         }
     }
 
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use stoatjunction_core::entry::budget::BudgetRule;
+use stoatjunction_core::entry::limit::Leeway;
 use stoatjunction_core::time::Span;
 
 /// Settings of an entry daemon.
@@ -27,6 +28,8 @@
     pub seeds: Vec<IpAddr>,
     /// Budget of second sendings.
     pub budget: BudgetRule,
+    /// What organisations may use beyond their limits.
+    pub leeway: Leeway,
     /// Time in which an upstream that leaves must get no more work.
     pub drain: Span,
     /// Time from SIGTERM until the process has to be gone.
@@ -52,6 +55,7 @@
                 extra: 20.0,
                 window: Span::from_millis(10_000),
             },
+            leeway: Leeway::default(),
             drain: Span::from_millis(2_000),
             grace: Duration::from_secs(8),
             files: 4_096,
