Play loads against pool, queue, limits; late calls lose their turn

Cause: a load of twice the capacity played against the queue (entry_pool.rs) showed 18 of 240 less urgent calls in time and 102 late: a call that turned late on its turn took the free place all the same.

--- a/stoatjunction_core/src/entry/queue.rs
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -76,16 +76,17 @@
             }
             let was_late = need.late;
             let verdict = pool.decide(&mut waiting.need, now);
-            if verdict != Verdict::Wait {
+            if waiting.need.late != was_late {
+                // It has lost its turn to all that can still be in time.
                 let waiting = self.waiting.remove(index);
-                return Some((waiting.id, waiting.need, verdict));
+                self.push(waiting.id, waiting.need);
+                continue;
             }
-            if waiting.need.late == was_late {
-                index += 1;
-            } else {
+            if verdict != Verdict::Wait {
                 let waiting = self.waiting.remove(index);
-                self.push(waiting.id, waiting.need);
+                return Some((waiting.id, waiting.need, verdict));
             }
+            index += 1;
         }
         None
     }
--- a/stoatjunction_core/src/entry/route.rs
+++ b/stoatjunction_core/src/entry/route.rs
@@ -54,11 +54,8 @@
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let routes = self.by_host.get(&host.to_ascii_lowercase())?;
-        let found = routes
-            .iter()
-            .map(|i| &self.cfg.routes[*i])
-            .find(|r| path.starts_with(&r.prefix));
-        found
+        let mut routes = routes.iter().map(|i| &self.cfg.routes[*i]);
+        routes.find(|r| path.starts_with(&r.prefix))
     }
 
     /// The organisation that holds `key`.
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -213,7 +213,11 @@
             return Asked::Refused(NO_SERVICE);
         };
         if !desk.queue.is_ahead(&need) {
-            match desk.pool.decide(&mut need, now) {
+            let verdict = desk.pool.decide(&mut need, now);
+            // A call that turned late meanwhile may have others ahead of it now.
+            let overtaken = need.late && desk.queue.is_ahead(&need);
+            match verdict {
+                _ if overtaken => {}
                 Verdict::Wait => {}
                 Verdict::Refuse(retry) => return Asked::Refused(retry),
                 Verdict::Place(key) => {
