Advise refused callers to come back later; let late calls wait less

A refused caller has missed its aim, so coming back later costs it nothing. Advice now spreads over 0.6 to 1 of a third of the time left; late calls wait 0.4 s, not 1 s.

--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -40,12 +40,15 @@
 ];
 /// Part of the time left that an advice to come back may take at most.
 const MOST_ADVICE: f64 = 1.0 / 3.0;
+/// Part of the longest advice that an advice takes at least: a refused caller has missed its aim, and
+/// bursts outlast what the queue shows.
+const LEAST_PART: f64 = 0.6;
 /// Upstreams that one request may find unreachable.
 const MOST_UNREACHABLE: u32 = 4;
 /// Advice to callers while there is no configuration.
 const NOT_READY: Span = Span::from_millis(400);
 /// Longest wait of a call that comes back late.
-const LATE_WAIT: Span = Span::from_millis(1_000);
+const LATE_WAIT: Span = Span::from_millis(400);
 /// Part of the aim for which a call waits once it can no longer be in time.
 const MISSED_WAIT: f64 = 0.25;
 /// Part of the aim that is planned with; the rest is for the way to the caller and for errors of
@@ -135,7 +138,9 @@
     };
     let left = clock::now().until(until).as_secs_f64();
     let most = Span::from_secs_f64(left * MOST_ADVICE);
-    let spread = Span::from_secs_f64(retry.as_secs_f64() * (1.0 + fastrand::f64()));
+    let least = left * MOST_ADVICE * LEAST_PART;
+    let base = retry.as_secs_f64().max(least);
+    let spread = Span::from_secs_f64(base * (1.0 + fastrand::f64()));
     Refusal::later(refusal.code, spread.min(most))
 }
 
