--- a/stoatjunction_core/src/entry/engine.rs
+++ b/stoatjunction_core/src/entry/engine.rs
@@ -90,16 +90,11 @@
 }
 
 /// How much slower an upstream is than the pool.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Factor {
     log: f64,
     count: u32,
-}
-
-impl Default for Factor {
-    fn default() -> Factor {
-        Factor { log: 0.0, count: 0 }
-    }
+    told: bool,
 }
 
 impl Factor {
@@ -108,6 +103,11 @@
         self.log.exp()
     }
 
+    /// True when anything was observed, here or by another host.
+    pub fn is_known(&self) -> bool {
+        self.told || self.count > 0
+    }
+
     /// Observations made.
     pub fn count(&self) -> u32 {
         self.count
@@ -126,6 +126,7 @@
         let log = factor.clamp(FACTOR.0, FACTOR.1).ln();
         let weight = f64::from(count) / f64::from(count + self.count + 8);
         self.log += (log - self.log) * weight * HEARSAY;
+        self.told = true;
     }
 }
 
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -151,6 +151,7 @@
     parts: Parts,
     line: Line,
     run_ms: f64,
+    best_factor: f64,
     seed: u64,
     waiting: Counts,
     rivals: IndexMap<u64, (Counts, Time)>,
@@ -171,6 +172,7 @@
             parts: Parts::default(),
             line: Line::default(),
             run_ms: RUN_HINT,
+            best_factor: 1.0,
             seed,
             waiting: Counts::new(),
             rivals: IndexMap::new(),
@@ -269,7 +271,18 @@
         let load = node.load(now);
         let tokens = f64::from(load.unread) + f64::from(unread);
         let cold = if now < node.cold_until { COLD } else { 1.0 };
-        self.wait_ms(node, now) + self.line.at(tokens) * node.factor.get() * cold
+        self.wait_ms(node, now) + self.line.at(tokens) * self.factor(node) * cold
+    }
+
+    /// An upstream's factor. One of which nothing is known is taken for as good as the best, so
+    /// that it is tried.
+    fn factor(&self, node: &Node) -> f64 {
+        let own = node.factor.get();
+        if node.factor.is_known() {
+            own
+        } else {
+            own.min(self.best_factor)
+        }
     }
 
     fn wait_ms(&self, node: &Node, now: Time) -> f64 {
@@ -452,6 +465,8 @@
         let factor = node.factor.get();
         node.factor.observe(ms / usual);
         self.line.observe(tokens, ms / factor);
+        let known = self.nodes.iter().filter(|(_, n)| n.factor.is_known());
+        self.best_factor = known.map(|(_, n)| n.factor.get()).fold(1.0, f64::min);
     }
 
     /// Records the end of a run.
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -123,6 +123,27 @@
     assert!(matches!(second, Verdict::Refuse(_)), "{second:?}");
 }
 
+#[test]
+fn an_upstream_of_which_nothing_is_known_is_tried_soon() {
+    let mut pool = pool(3, 8, 1);
+    let mut tried = std::collections::BTreeSet::new();
+
+    for n in 0..30 {
+        let Verdict::Place(key) = pool.decide(&mut need(0, ms(n * 100), n), ms(n * 100)) else {
+            panic!("not placed")
+        };
+        let run = pool.started(key, &[], ms(n * 100));
+        pool.first(run, ms(n * 100 + 5));
+        pool.ended(run, Some(Outcome::Good), ms(n * 100 + 5));
+        tried.insert(key);
+    }
+
+    assert!(
+        tried.contains(&NodeKey(0)) && tried.contains(&NodeKey(2)),
+        "{tried:?}"
+    );
+}
+
 #[test]
 fn the_load_of_a_silent_host_is_forgotten_after_a_while() {
     let mut pool = pool(1, 2, 1);
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -48,7 +48,7 @@
 /// Advice to callers while there is no configuration.
 const NOT_READY: Span = Span::from_millis(400);
 /// Longest wait of a call that comes back late.
-const LATE_WAIT: Span = Span::from_millis(400);
+const LATE_WAIT: Span = Span::from_millis(250);
 /// Part of the aim for which a call waits once it can no longer be in time.
 const MISSED_WAIT: f64 = 0.25;
 /// Part of the aim that is planned with; the rest is for the way to the caller and for errors of
--- /dev/null
+++ b/stoatjunction_standin/src/store.rs
@@ -0,0 +1,226 @@
+//! A stand-in of the users' metadata store: objects with revisions, watches, lost history, and the
+//! ways in which it fails.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use stoatjunction_net::http::{Body, full, serve};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+
+/// Longest wait of a watch, in milliseconds.
+const MAX_WAIT_MS: u64 = 30_000;
+/// Objects on one page of a list.
+const PAGE: usize = 50;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// As it should.
+    #[default]
+    Sound,
+    /// With 503.
+    Busy,
+    /// Not at all.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: Vec<(u64, String, Value)>,
+    forgotten: u64,
+    mood: Mood,
+    calls: u64,
+}
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Store {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+    _open: Arc<watch::Sender<bool>>,
+}
+
+impl Store {
+    /// Starts a store on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when no port can be had.
+    pub async fn start() -> std::io::Result<Store> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let (tx, rx) = watch::channel(false);
+        let store = Store {
+            addr,
+            state: Arc::default(),
+            changed: Arc::default(),
+            _open: Arc::new(tx),
+        };
+        let serving = store.clone();
+        let handle = move |req: Request<Incoming>, _| {
+            let store = serving.clone();
+            async move { store.answer(req).await }
+        };
+        tokio::spawn(serve(listener, rx, handle));
+        Ok(store)
+    }
+
+    /// Its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Calls it has had.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Changes how it answers; calls that wait are answered as before.
+    pub fn set_mood(&self, mood: Mood) {
+        self.lock().mood = mood;
+        self.changed.notify_waiters();
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, specification: Value) -> u64 {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let object = json!({
+            "metadata": {"name": name, "revision": revision, "created": 1, "finalizers": [], "deleting": false},
+            "specification": specification,
+            "status": null,
+        });
+        let event = json!({"object": object, "deleted": false});
+        state
+            .objects
+            .insert((kind.to_owned(), name.to_owned()), object);
+        state.history.push((revision, kind.to_owned(), event));
+        drop(state);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.lock();
+        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+            return;
+        };
+        state.revision += 1;
+        let revision = state.revision;
+        let event = json!({"object": object, "deleted": true});
+        state.history.push((revision, kind.to_owned(), event));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets its history; watches from before are answered 410.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.forgotten = state.revision;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the state panics")
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
+        let mood = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mood
+        };
+        match mood {
+            Mood::Sound => {}
+            Mood::Busy => return status(StatusCode::SERVICE_UNAVAILABLE),
+            Mood::Silent => std::future::pending().await,
+        }
+        if req.method() != Method::GET {
+            return status(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let path = req.uri().path().to_owned();
+        let Some(kind) = path.strip_prefix("/stoatjunction/objects/") else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let query = req.uri().query().unwrap_or_default().to_owned();
+        match number(&query, "watch") {
+            Some(since) => self.watch(kind, since, number(&query, "wait-ms")).await,
+            None => self.list(kind, text(&query, "after-revision")),
+        }
+    }
+
+    fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let mut items: Vec<&Value> = of_kind
+            .filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a))
+            .map(|(_, object)| object)
+            .collect();
+        let has_more = items.len() > PAGE;
+        items.truncate(PAGE);
+        ok(&json!({"items": items, "has-more": has_more, "at": state.revision}))
+    }
+
+    async fn watch(&self, kind: &str, since: u64, wait_ms: Option<u64>) -> Response<Body> {
+        let wait = Duration::from_millis(wait_ms.unwrap_or(0).min(MAX_WAIT_MS));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let notified = self.changed.notified();
+            if let Some(res) = self.events(kind, since) {
+                return res;
+            }
+            if tokio::time::timeout_at(until, notified).await.is_err() {
+                let at = self.lock().revision;
+                return ok(&json!({"events": [], "at": at}));
+            }
+        }
+    }
+
+    /// The answer to a watch that need not wait.
+    fn events(&self, kind: &str, since: u64) -> Option<Response<Body>> {
+        let state = self.lock();
+        if since < state.forgotten {
+            return Some(status(StatusCode::GONE));
+        }
+        let new = state.history.iter();
+        let new: Vec<&Value> = new
+            .filter(|(revision, k, _)| *revision > since && k == kind)
+            .map(|(_, _, event)| event)
+            .collect();
+        if new.is_empty() {
+            return None;
+        }
+        Some(ok(&json!({"events": new, "at": state.revision})))
+    }
+}
+
+fn text<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.filter(|(k, _)| *k == name).map(|(_, v)| v).next()
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    text(query, name)?.parse().ok()
+}
+
+fn ok(value: &Value) -> Response<Body> {
+    Response::new(full(Bytes::from(value.to_string())))
+}
+
+fn status(code: StatusCode) -> Response<Body> {
+    let mut res = Response::new(full(Bytes::new()));
+    *res.status_mut() = code;
+    res
+}
