--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -11,6 +11,7 @@
 use super::parts::{Part, Parts};
 use super::view::Listed;
 use crate::arena::{Arena, Key};
+use crate::hash;
 use crate::time::{Span, Time};
 
 /// Time after which another host's word on its load counts no more.
@@ -19,6 +20,8 @@
 const EXCESS_AGE: Span = Span::from_millis(500);
 /// Milliseconds that a run in another data centre has to save, for the bytes between them.
 const FAR_MS: f64 = 6.0;
+/// The same while hosts of other data centres tell of their loads only now and then.
+const FAR_APART_MS: f64 = 60.0;
 /// Milliseconds that a full batch costs against an empty one.
 const CROWD_MS: f64 = 30.0;
 /// Milliseconds that a token costs in the choice, beyond its reading: it delays the neighbours.
@@ -72,8 +75,10 @@
 pub struct Node {
     /// As the platform lists it.
     pub listed: Listed,
+    /// Number by which hosts name it among themselves.
+    pub number: u64,
     own: Load,
-    others: IndexMap<u64, (Load, Time)>,
+    others: Load,
     excess: u32,
     excess_at: Time,
     cold_until: Time,
@@ -147,6 +152,9 @@
     dc: String,
     nodes: Arena<NodeKey, Node>,
     by_id: IndexMap<String, NodeKey>,
+    by_number: IndexMap<u64, NodeKey>,
+    peers: IndexMap<u64, (Vec<(NodeKey, Load)>, Time)>,
+    far_ms: f64,
     runs: Arena<RunKey, Run>,
     parts: Parts,
     line: Line,
@@ -168,6 +176,9 @@
             dc: dc.to_owned(),
             nodes: Arena::default(),
             by_id: IndexMap::new(),
+            by_number: IndexMap::new(),
+            peers: IndexMap::new(),
+            far_ms: FAR_MS,
             runs: Arena::default(),
             parts: Parts::default(),
             line: Line::default(),
@@ -213,8 +224,9 @@
         self.drop_node(&l.id);
         let key = self.nodes.insert(Node {
             listed: l.clone(),
+            number: number_of(&l.id, l.born),
             own: Load::default(),
-            others: IndexMap::new(),
+            others: Load::default(),
             excess: 0,
             excess_at: Time::default(),
             cold_until: now + Span::from_millis(l.cold_ms),
@@ -222,12 +234,19 @@
             factor: Factor::default(),
         });
         self.by_id.insert(l.id.clone(), key);
+        self.by_number.insert(number_of(&l.id, l.born), key);
     }
 
     fn drop_node(&mut self, id: &str) {
-        if let Some(key) = self.by_id.shift_remove(id) {
-            self.nodes.remove(key);
-            self.parts.forget(key);
+        let Some(key) = self.by_id.shift_remove(id) else {
+            return;
+        };
+        if let Some(node) = self.nodes.remove(key) {
+            self.by_number.swap_remove(&node.number);
+        }
+        self.parts.forget(key);
+        for (loads, _) in self.peers.values_mut() {
+            loads.retain(|(k, _)| *k != key);
         }
     }
 
@@ -236,9 +255,9 @@
         self.nodes.get(key)
     }
 
-    /// The key of the upstream with `id`.
-    pub fn key(&self, id: &str) -> Option<NodeKey> {
-        self.by_id.get(id).copied()
+    /// The key of the upstream with a number.
+    pub fn key(&self, number: u64) -> Option<NodeKey> {
+        self.by_number.get(&number).copied()
     }
 
     /// All upstreams.
@@ -296,7 +315,7 @@
     pub fn decide(&mut self, need: &mut Need, now: Time) -> Verdict {
         let mut best: Option<(f64, f64, NodeKey, bool)> = None;
         let mut open = 0;
-        self.seed = crate::hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        self.seed = hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
         for (key, node) in self.usable(now) {
             if need.tried.contains(&key) {
                 continue;
@@ -348,7 +367,7 @@
             FAR_MS
         };
         let neighbours = self.line.slope() * f64::from(unread) * NEIGHBOUR;
-        let draw = crate::hash::mix(self.seed ^ u64::from(key.0)) >> 40;
+        let draw = hash::mix(self.seed ^ u64::from(key.0)) >> 40;
         let spread = draw as f64 / (1_u64 << 24) as f64;
         crowd + far + neighbours + 2.0 * spread
     }
@@ -383,7 +402,7 @@
         let own = self.waiting.iter().find(|(o, _)| *o == order);
         let own = own.map_or(1, |(_, n)| u32::from(*n).max(1));
         let left = f64::from(self.free(now).saturating_sub(ahead));
-        let draw = crate::hash::mix(need.salt ^ (now.0 / TURN.0)) >> 40;
+        let draw = hash::mix(need.salt ^ (now.0 / TURN.0)) >> 40;
         let draw = draw as f64 / (1_u64 << 24) as f64;
         draw * f64::from(same + own) < left
     }
@@ -503,17 +522,52 @@
     /// Takes in what an upstream said of its load in an answer.
     pub fn reported(&mut self, key: NodeKey, running: u32, waiting: u32, now: Time) {
         if let Some(node) = self.nodes.get_mut(key) {
-            let known = node.own.running + node.others_load(now).running;
+            let known = node.own.running + node.others.running;
             node.excess = (running + waiting).saturating_sub(known);
             node.excess_at = now;
         }
     }
 
-    /// Takes in what another host runs on an upstream.
-    pub fn heard(&mut self, peer: u64, key: NodeKey, load: Load, now: Time) {
-        if let Some(node) = self.nodes.get_mut(key) {
-            node.others.insert(peer, (load, now));
+    /// Takes in all that another host runs, in place of what it said before.
+    pub fn heard(&mut self, peer: u64, loads: Vec<(NodeKey, Load)>, now: Time) {
+        self.forget_loads(peer);
+        for (key, load) in &loads {
+            if let Some(node) = self.nodes.get_mut(*key) {
+                node.others.running += load.running;
+                node.others.unread += load.unread;
+            }
         }
+        self.peers.insert(peer, (loads, now));
+    }
+
+    /// Forgets the loads of hosts that have been silent for too long.
+    pub fn forget_silent(&mut self, now: Time) {
+        let silent = self.peers.iter();
+        let silent: Vec<u64> = silent
+            .filter(|(_, (_, at))| now.since(*at) >= PEER_AGE)
+            .map(|(peer, _)| *peer)
+            .collect();
+        for peer in silent {
+            self.forget_loads(peer);
+        }
+    }
+
+    fn forget_loads(&mut self, peer: u64) {
+        let Some((loads, _)) = self.peers.swap_remove(&peer) else {
+            return;
+        };
+        for (key, load) in loads {
+            if let Some(node) = self.nodes.get_mut(key) {
+                node.others.running = node.others.running.saturating_sub(load.running);
+                node.others.unread = node.others.unread.saturating_sub(load.unread);
+            }
+        }
+    }
+
+    /// Says whether hosts of other data centres tell of their loads only now and then. Upstreams
+    /// there are then used only when those nearby are much worse.
+    pub fn set_far_apart(&mut self, far_apart: bool) {
+        self.far_ms = if far_apart { FAR_APART_MS } else { FAR_MS };
     }
 
     /// Takes in how much slower than the pool another host found an upstream.
@@ -525,9 +579,7 @@
 
     /// Forgets a host's load.
     pub fn forget_peer(&mut self, peer: u64) {
-        for (_, node) in self.nodes.iter_mut() {
-            node.others.swap_remove(&peer);
-        }
+        self.forget_loads(peer);
         self.rivals.swap_remove(&peer);
     }
 }
@@ -561,23 +613,16 @@
     }
 
     fn load(&self, now: Time) -> Load {
-        let others = self.others_load(now);
         let fresh = now.since(self.excess_at) < EXCESS_AGE;
         let excess = if fresh { self.excess } else { 0 };
         Load {
-            running: self.own.running + others.running + excess,
-            unread: self.own.unread + others.unread,
+            running: self.own.running + self.others.running + excess,
+            unread: self.own.unread + self.others.unread,
         }
     }
+}
 
-    fn others_load(&self, now: Time) -> Load {
-        let fresh = self
-            .others
-            .values()
-            .filter(|(_, at)| now.since(*at) < PEER_AGE);
-        fresh.fold(Load::default(), |sum, (l, _)| Load {
-            running: sum.running + l.running,
-            unread: sum.unread + l.unread,
-        })
-    }
+/// A number for an upstream that hosts use among themselves.
+fn number_of(id: &str, born: u64) -> u64 {
+    hash::hash_parts(&[id.as_bytes(), &born.to_le_bytes()])
 }
--- a/stoatjunction_core/src/entry/queue.rs
+++ b/stoatjunction_core/src/entry/queue.rs
@@ -64,6 +64,9 @@
     /// records a placing in `pool` before it asks again.
     pub fn next(&mut self, pool: &mut Pool, now: Time) -> Option<(CallId, Need, Verdict)> {
         pool.set_waiting(self.counts());
+        if self.waiting.is_empty() {
+            return None;
+        }
         let no_place = pool.free(now) == 0;
         let mut index = 0;
         while index < self.waiting.len() {
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -144,6 +144,18 @@
     );
 }
 
+#[test]
+fn what_a_host_says_replaces_what_it_said_before() {
+    let mut pool = pool(2, 4, 1);
+    let load = |running| Load { running, unread: 0 };
+    pool.heard(9, vec![(NodeKey(0), load(3)), (NodeKey(1), load(1))], START);
+
+    pool.heard(9, vec![(NodeKey(0), load(1))], START);
+
+    assert_eq!(pool.node(NodeKey(0)).unwrap().running(START), 1);
+    assert_eq!(pool.node(NodeKey(1)).unwrap().running(START), 0);
+}
+
 #[test]
 fn the_load_of_a_silent_host_is_forgotten_after_a_while() {
     let mut pool = pool(1, 2, 1);
@@ -151,9 +163,12 @@
         running: 2,
         unread: 0,
     };
-    pool.heard(9, NodeKey(0), load, START);
-
+    pool.heard(9, vec![(NodeKey(0), load)], START);
+    pool.forget_silent(START);
     assert_eq!(pool.free(START), 0);
+
+    pool.forget_silent(ms(1_600));
+
     assert_eq!(pool.free(ms(1_600)), 2);
 }
 
@@ -181,9 +196,7 @@
             .collect();
         for (h, (pool, _)) in self.hosts.iter_mut().enumerate() {
             for (peer, (loads, waiting)) in told.iter().enumerate().filter(|(p, _)| *p != h) {
-                for (key, load) in loads {
-                    pool.heard(peer as u64, *key, *load, now);
-                }
+                pool.heard(peer as u64, loads.clone(), now);
                 pool.heard_waiting(peer as u64, waiting.clone(), now);
             }
         }
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -319,11 +319,6 @@
 /// Time by which a deadline has to be short of the longest for its caller to count as returned.
 const RETURNED: Span = Span::from_millis(40);
 
-/// A number for an upstream that hosts use among themselves.
-pub(crate) fn node_id(id: &str, born: u64) -> u64 {
-    hash::hash_parts(&[id.as_bytes(), &born.to_le_bytes()])
-}
-
 impl Desk {
     fn settle(&mut self, now: Time) {
         while let Some((id, need, verdict)) = self.queue.next(&mut self.pool, now) {
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -20,7 +20,7 @@
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::mpsc;
 
-use crate::board::{Context, Placed, node_id};
+use crate::board::{Context, Placed};
 use crate::clock;
 use crate::events::Events;
 use crate::exchange::{self, Answer, Message, NoAnswer, Target};
@@ -371,7 +371,7 @@
             progress.sent.set(true);
             progress.may_have_run.set(true);
         };
-        tell_parts(cx, &call, &target, &placed);
+        tell_parts(cx, &call, &placed);
         let result = exchange::send(
             cx,
             &call.message,
@@ -477,7 +477,7 @@
 }
 
 /// Lets the other hosts know which upstream reads the prompt.
-fn tell_parts(cx: &Rc<Context>, call: &Call, target: &Target, placed: &Placed) {
+fn tell_parts(cx: &Rc<Context>, call: &Call, placed: &Placed) {
     let Some(part) = call.need.prompt.last() else {
         return;
     };
@@ -486,11 +486,10 @@
         .desks
         .get(placed.service())
         .and_then(|d| d.pool.node(placed.key));
-    let Some(born) = node.map(|n| n.listed.born) else {
+    let Some(number) = node.map(|n| n.number) else {
         return;
     };
-    let id = node_id(&target.id, born);
-    board.news.parts.push((part.id, id));
+    board.news.parts.push((part.id, number));
 }
 
 /// Brings an answer to the caller. An error means that the upstream broke off before anything was
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -11,12 +11,14 @@
 use stoatjunction_core::time::Span;
 use tokio::net::UdpSocket;
 
-use crate::board::{Context, PEER_SILENT, Peer, node_id};
+use crate::board::{Board, Context, PEER_SILENT, Peer};
 use crate::clock;
 use crate::mirror;
 
 /// Least time between two beats.
 const FASTEST: Duration = Duration::from_millis(20);
+/// Hosts that are told at the fastest; with more the pause grows, since each costs processor time.
+const TOLD_AT_FASTEST: f64 = 8.0;
 /// Time between beats when nothing changes.
 const SLOWEST: Duration = Duration::from_millis(250);
 /// Silence after which a host is no longer counted.
@@ -68,23 +70,28 @@
         if full {
             last_full = clock::now();
         }
-        tell(&cx, &socket, full).await;
-        tokio::time::sleep(FASTEST).await;
+        let told = tell(&cx, &socket, full).await;
+        let pause = FASTEST.mul_f64((told as f64 / TOLD_AT_FASTEST).max(1.0));
+        tokio::time::sleep(pause).await;
     }
 }
 
-async fn tell(cx: &Context, socket: &UdpSocket, full: bool) {
+/// Tells the others; returns how many.
+async fn tell(cx: &Context, socket: &UdpSocket, full: bool) -> usize {
     forget_silent(cx);
-    let beat = make(cx);
+    let beat = make(cx, full);
     let Ok(bytes) = bincode::serde::encode_to_vec(&beat, bincode::config::standard()) else {
-        return;
+        return 0;
     };
-    for ip in receivers(cx, full) {
+    let receivers = receivers(cx, full);
+    let told = receivers.len();
+    for ip in receivers {
         let to = SocketAddr::new(ip, cx.settings.beat_port);
         if let Err(e) = socket.try_send_to(&bytes, to) {
             log::debug!("event=beat_unsent to={ip} reason={e}");
         }
     }
+    told
 }
 
 fn receivers(cx: &Context, full: bool) -> Vec<IpAddr> {
@@ -104,16 +111,16 @@
     ips
 }
 
-fn make(cx: &Context) -> Beat {
+fn make(cx: &Context, full: bool) -> Beat {
     let mut board = cx.board.borrow_mut();
     let board = &mut *board;
     let mut loads = Vec::new();
     for desk in board.desks.values() {
         for (_, node) in desk.pool.nodes() {
             let (own, (factor, observed)) = (node.own(), node.factor());
-            if own.running > 0 || observed >= TOLD_FROM {
+            if own.running > 0 || (full && observed >= TOLD_FROM) {
                 loads.push(NodeLoad {
-                    node: node_id(&node.listed.id, node.listed.born),
+                    node: node.number,
                     running: own.running,
                     unread: own.unread,
                     factor: factor as f32,
@@ -172,6 +179,11 @@
     board
         .limits
         .set_reach(heard + 1, board.peers.len() + 1, now);
+    let far_apart = board.peers.len() > MANY_HOSTS;
+    for desk in board.desks.values_mut() {
+        desk.pool.forget_silent(now);
+        desk.pool.set_far_apart(far_apart);
+    }
 }
 
 async fn hear(cx: Rc<Context>, socket: Rc<UdpSocket>) {
@@ -239,30 +251,27 @@
     cx.poll();
 }
 
-fn take_loads(
-    board: &mut crate::board::Board,
-    boot: u64,
-    loads: &[NodeLoad],
-    parts: &[(u32, u64)],
-) {
+fn take_loads(board: &mut Board, boot: u64, loads: &[NodeLoad], parts: &[(u32, u64)]) {
     let now = clock::now();
     for desk in board.desks.values_mut() {
-        let keys: Vec<_> = desk
-            .pool
-            .nodes()
-            .map(|(key, n)| (key, node_id(&n.listed.id, n.listed.born)))
-            .collect();
-        for (key, id) in keys {
-            let told = loads.iter().find(|l| l.node == id);
-            let load = told.map_or(Load::default(), |l| Load {
+        let mut running = Vec::new();
+        for l in loads {
+            let Some(key) = desk.pool.key(l.node) else {
+                continue;
+            };
+            let load = Load {
                 running: l.running,
                 unread: l.unread,
-            });
-            desk.pool.heard(boot, key, load, now);
-            if let Some(l) = told.filter(|l| l.observed >= TOLD_FROM) {
-                desk.pool.heard_factor(key, f64::from(l.factor), l.observed);
+            };
+            running.push((key, load));
+            if l.observed >= TOLD_FROM {
+                desk.pool
+                    .heard_factor(key, f64::from(l.factor), l.observed);
             }
-            for (part, _) in parts.iter().filter(|(_, node)| *node == id) {
+        }
+        desk.pool.heard(boot, running, now);
+        for (part, node) in parts {
+            if let Some(key) = desk.pool.key(*node) {
                 desk.pool.heard_part(*part, key, now);
             }
         }
