--- a/stoatjunction/src/cli.rs
+++ b/stoatjunction/src/cli.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 
 use crate::config::Config;
-use crate::{bundle, claims, fleet, timeline};
+use crate::{bundle, claims, explain, fleet, timeline};
 
 /// Text of `--help`.
 pub const HELP: &str = "\
@@ -35,6 +35,10 @@
   claims unknown                  keys whose outcome has to be resolved
   claims resolve OBJECT ran|not_run
 
+Logs:
+  explain ID [FILE...]            how a request ended and why, from log files of any hosts
+                                  (standard input without files)
+
 Options:
   --config FILE  operator's settings in INI (default: stoatjunction.ini)
   --json         print JSON
@@ -83,6 +87,7 @@
     match command.as_str() {
         "key" => Ok(crate::config::make_key(&free(&mut args, "FILE")?)?),
         "bundle" => bundle::run(args, &config, json).await,
+        "explain" => explain::run(args),
         "timeline" => timeline::run(args, &Config::load(&config)?, json).await,
         "claims" => claims::run(args, &Config::load(&config)?, json).await,
         other => fleet::run(other, args, &Config::load(&config)?, json).await,
--- a/stoatjunction/src/main.rs
+++ b/stoatjunction/src/main.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod cli;
 mod config;
+mod explain;
 mod fleet;
 mod timeline;
 
--- a/stoatjunction_entry/src/exchange.rs
+++ b/stoatjunction_entry/src/exchange.rs
@@ -26,6 +26,14 @@
     pub(crate) id: Option<HeaderValue>,
 }
 
+impl Message {
+    /// The request's id for log lines.
+    pub(crate) fn shown_id(&self) -> &str {
+        let id = self.id.as_ref().and_then(|id| id.to_str().ok());
+        id.unwrap_or("-")
+    }
+}
+
 /// Where a message goes.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -72,7 +80,11 @@
     let mut connection = match kept {
         Some(kept) => kept,
         None => connections::open(&target.addr).await.map_err(|e| {
-            log::info!("event=unreachable upstream={} reason={e}", target.id);
+            log::info!(
+                "event=unreachable request={} upstream={} reason=\"{e}\"",
+                message.shown_id(),
+                target.id
+            );
             placed.observe(Outcome::Unreachable);
             NoAnswer::NotSent
         })?,
@@ -88,7 +100,12 @@
         if e.take_message().is_some() {
             return NoAnswer::NotSent;
         }
-        log::info!("event=broken upstream={} reason={}", target.id, e.error());
+        log::info!(
+            "event=broken request={} upstream={} reason=\"{}\"",
+            message.shown_id(),
+            target.id,
+            e.error()
+        );
         NoAnswer::Broken
     })?;
     check(&cx.names, message, target, res, connection, placed)
@@ -126,7 +143,11 @@
     let (head, body) = res.into_parts();
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some() && echoed != message.id.as_ref() {
-        log::info!("event=strange_answer upstream={}", target.id);
+        log::info!(
+            "event=strange_answer request={} upstream={}",
+            message.shown_id(),
+            target.id
+        );
         return Err(NoAnswer::Broken);
     }
     if let Some((running, waiting)) = load_of(&head.headers, names) {
@@ -134,6 +155,12 @@
     }
     let status = head.status;
     if status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_run) {
+        log::info!(
+            "event=not_run request={} upstream={} status={}",
+            message.shown_id(),
+            target.id,
+            status.as_u16()
+        );
         return Err(NoAnswer::NotRun {
             status: status.as_u16(),
         });
@@ -142,7 +169,11 @@
     let encoded = head.headers.get(CONTENT_ENCODING);
     let is_encoded = encoded.is_some_and(|e| e != "identity");
     if status.is_success() && (!has_receipt || is_encoded) {
-        log::info!("event=no_receipt upstream={}", target.id);
+        log::info!(
+            "event=no_receipt request={} upstream={}",
+            message.shown_id(),
+            target.id
+        );
         return Err(NoAnswer::Broken);
     }
     let stated_idle = idle_of(&head.headers);
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -87,9 +87,10 @@
         Err(refusal) => {
             let shown = id.as_ref().and_then(|i| i.to_str().ok());
             log::info!(
-                "event=refused request={} code={} after_ms={}",
+                "event=refused request={} code={} reason={} after_ms={}",
                 shown.unwrap_or("-"),
                 refusal.code,
+                refusal.code.slug(),
                 clock::now().since(arrived).as_millis()
             );
             refusal.response(&cx.names, id.as_ref())
@@ -372,6 +373,7 @@
             progress.may_have_run.set(true);
         };
         tell_parts(cx, &call, &placed);
+        log_placed(cx, &call, &placed, &target);
         let result = exchange::send(
             cx,
             &call.message,
@@ -476,6 +478,28 @@
     })
 }
 
+/// Logs a placing with what it was decided on.
+fn log_placed(cx: &Rc<Context>, call: &Call, placed: &Placed, target: &Target) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let board = cx.board.borrow();
+    let Some(desk) = board.desks.get(placed.service()) else {
+        return;
+    };
+    let now = clock::now();
+    let running = desk.pool.node(placed.key).map_or(0, |n| n.running(now));
+    log::debug!(
+        "event=placed request={} upstream={} service={} running={running} free={} late={} left_ms={}",
+        call.message.shown_id(),
+        target.id,
+        placed.service(),
+        desk.pool.free(now),
+        call.need.late,
+        now.until(call.until).as_millis()
+    );
+}
+
 /// Lets the other hosts know which upstream reads the prompt.
 fn tell_parts(cx: &Rc<Context>, call: &Call, placed: &Placed) {
     let Some(part) = call.need.prompt.last() else {
@@ -525,6 +549,12 @@
         Outcome::Good
     });
     cx.keep(&call.service, &target.id, connection, stated_idle);
+    log::debug!(
+        "event=answered request={} upstream={} status={}",
+        call.message.shown_id(),
+        target.id,
+        status.as_u16()
+    );
     if status.is_success() {
         cx.board.borrow_mut().suspects.ended(call.fingerprint);
     }
@@ -620,15 +650,25 @@
             match self.pass(&mut answer).await {
                 PartEnd::Whole => {
                     placed.end(Outcome::Good);
+                    self.log_end("answered", &target);
                     let idle = answer.stated_idle;
                     let service = &self.service;
                     self.cx.keep(service, &target.id, answer.connection, idle);
                     self.cx.board.borrow_mut().suspects.ended(self.fingerprint);
                     return true;
                 }
-                PartEnd::CallerGone => return true,
-                PartEnd::Late => return false,
-                PartEnd::Broken => placed.end(Outcome::Broken),
+                PartEnd::CallerGone => {
+                    self.log_end("caller_left", &target);
+                    return true;
+                }
+                PartEnd::Late => {
+                    self.log_end("late_in_stream", &target);
+                    return false;
+                }
+                PartEnd::Broken => {
+                    placed.end(Outcome::Broken);
+                    self.log_end("cut_in_stream", &target);
+                }
             }
             drop(answer);
             self.need.tried.push(key);
@@ -639,6 +679,21 @@
         }
     }
 
+    fn log_end(&self, event: &str, target: &Target) {
+        let level = if event == "answered" {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
+            "event={event} request={} upstream={} last_event={}",
+            self.message.shown_id(),
+            target.id,
+            self.events.last().unwrap_or(0)
+        );
+    }
+
     async fn pass(&mut self, answer: &mut Answer) -> PartEnd {
         let limit = tokio::time::sleep_until(clock::instant(self.until));
         tokio::pin!(limit);
@@ -709,6 +764,7 @@
             match result {
                 Ok(answer) if answer.head.status.is_success() => {
                     placed.first();
+                    self.log_end("resumed", &target);
                     return Some((answer, placed, target));
                 }
                 Err(NoAnswer::NotSent) => unreachable += 1,
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -265,8 +265,7 @@
             };
             running.push((key, load));
             if l.observed >= TOLD_FROM {
-                desk.pool
-                    .heard_factor(key, f64::from(l.factor), l.observed);
+                desk.pool.heard_factor(key, f64::from(l.factor), l.observed);
             }
         }
         desk.pool.heard(boot, running, now);
