--- a/stoatjunction_entry/src/feed.rs
+++ b/stoatjunction_entry/src/feed.rs
@@ -21,8 +21,11 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Time after a failed call in which entries that are missing may still come back.
 const UNSURE: Span = Span::from_millis(3_000);
+/// Pause after news of upstreams, in which more may gather: each call is paid for, and many upstreams
+/// write at about the same time. It takes part of the time to drain.
+const GATHER: Duration = Duration::from_millis(350);
 /// Part of the time to drain by which removals are put off at most.
-const PUT_OFF_PART: f64 = 0.7;
+const PUT_OFF_PART: f64 = 0.55;
 /// Pause between two looks at removals that are put off.
 const SETTLE: Duration = Duration::from_millis(100);
 
@@ -122,7 +125,11 @@
         match source.watch(topic, at, WAIT).await {
             Ok(some) => {
                 at = at.max(some.at);
+                let had_news = !some.changes.is_empty();
                 apply(cx, some);
+                if had_news && topic == Topic::Upstreams {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             Err(FeedError::Gone) => {
                 log::info!("event=history_gone topic={topic:?} since={at}");
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -24,7 +24,7 @@
 /// Silence after which a host is no longer counted.
 const FORGET: Span = Span::from_millis(30_000);
 /// Time for which a host waits for its own store before it asks another host.
-const OWN_STORE: Duration = Duration::from_millis(150);
+const OWN_STORE: Duration = Duration::from_millis(500);
 /// Largest datagram.
 const MAX_BEAT: usize = 60_000;
 /// Hosts beyond which those of other data centres get every change no more, only the slow beats.
