--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -356,16 +356,18 @@
 ) -> Result<Response<Body>, Refusal> {
     let mut attempts = 0;
     let mut unreachable = 0;
+    // An upstream's own error, to be passed on when no other upstream does better.
+    let mut error: Option<Response<Body>> = None;
     loop {
-        let placed = cx
-            .place(&call.service, call.need.clone())
-            .await
-            .map_err(|retry| refuse_unplaced(progress, retry))?;
+        let placed = match cx.place(&call.service, call.need.clone()).await {
+            Ok(placed) => placed,
+            Err(retry) => return error.ok_or_else(|| refuse_unplaced(progress, retry)),
+        };
         let Some(target) = target_of(cx, &placed) else {
             continue;
         };
         if attempts > 0 && !may_repeat(cx, &call, attempts) {
-            return Err(give_up(progress));
+            return error.ok_or_else(|| give_up(progress));
         }
         let before = progress.may_have_run.get();
         let sent = || {
@@ -387,18 +389,22 @@
         let key = placed.key;
         match result {
             Ok(answer) => match finish(cx, &mut call, answer, placed, &target).await {
+                Ok(res) if is_worth_another(&call, &res, attempts) => {
+                    attempts += 1;
+                    error = Some(res);
+                }
                 Ok(res) => return Ok(res),
                 Err(()) => {
                     note_break(cx, &call);
                     attempts += 1;
                 }
             },
-            Err(NoAnswer::TooLate) => return Err(timed_out(progress)),
+            Err(NoAnswer::TooLate) => return error.ok_or_else(|| timed_out(progress)),
             Err(NoAnswer::NotSent) => {
                 progress.may_have_run.set(before);
                 unreachable += 1;
                 if unreachable >= MOST_UNREACHABLE {
-                    return Err(give_up(progress));
+                    return error.ok_or_else(|| give_up(progress));
                 }
             }
             Err(NoAnswer::NotRun { status }) => {
@@ -421,7 +427,7 @@
             return Err(Refusal::new(Code::UpstreamBroken));
         }
         if attempts >= call.route.attempts {
-            return Err(give_up(progress));
+            return error.ok_or_else(|| give_up(progress));
         }
         call.need.tried.push(key);
         let now = clock::now();
@@ -430,6 +436,12 @@
     }
 }
 
+/// True for an upstream's own error on a call that may run once more elsewhere.
+fn is_worth_another(call: &Call, res: &Response<Body>, attempts: u32) -> bool {
+    let repeats = call.route.repeat == Repeat::Safe;
+    repeats && res.status().is_server_error() && attempts + 1 < call.route.attempts
+}
+
 fn refuse_unplaced(progress: &Progress, retry: Span) -> Refusal {
     if progress.may_have_run.get() {
         return Refusal::new(Code::UpstreamBroken);
