--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -269,7 +269,7 @@
 /// Advice to callers of a service that has no pool.
 const NO_SERVICE: Span = Span::from_millis(1_000);
 /// Silence after which another host counts as out of reach.
-pub(crate) const PEER_SILENT: Span = Span::from_millis(1_000);
+pub(crate) const PEER_SILENT: Span = Span::from_millis(700);
 
 /// Takes a call out of its queue when its caller leaves.
 struct Leave<'a> {
