--- a/stoatjunction_entry/src/connections.rs
+++ b/stoatjunction_entry/src/connections.rs
@@ -17,7 +17,7 @@
 
 /// Longest wait for a connection. Data centres are a few milliseconds apart, and an upstream that
 /// takes longer has a full queue of connections or is gone.
-const CONNECT: Duration = Duration::from_millis(500);
+const CONNECT: Duration = Duration::from_millis(150);
 /// Time for which an idle connection is used again when the upstream states none.
 const UNSTATED: Span = Span::from_millis(3_000);
 /// Time before the end of the stated one at which a connection is used no more.
