Note silent upstreams; send calls that may be repeated elsewhere

Cause: a grey upstream that hangs was never judged, since nothing ended. One that has not begun to answer after the aim and four forecasts is noted, and a call that may run again goes to another upstream that has a free place; without one it waits on. Test in requests.rs, red before. First try without asking for another upstream: 502 in place of 504, caught by the_routes_time_ends_a_call.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -304,6 +304,19 @@
         }
     }
 
+    /// True when another upstream than `key` and those in `tried` has a free place.
+    pub fn has_other(&self, key: NodeKey, tried: &[NodeKey], now: Time) -> bool {
+        let has_place = |n: &Node| n.running(now) < n.listed.slots;
+        self.usable(now)
+            .any(|(k, n)| k != key && !tried.contains(&k) && has_place(n))
+    }
+
+    /// Milliseconds until the first event of a run that has just begun.
+    pub fn forecast_of(&self, run: RunKey, now: Time) -> f64 {
+        let node = self.runs.get(run).and_then(|r| self.nodes.get(r.node));
+        node.map_or(0.0, |n| self.forecast(n, 0, now))
+    }
+
     fn wait_ms(&self, node: &Node, now: Time) -> f64 {
         let slots = node.listed.slots.max(1);
         let over = (node.running(now) + 1).saturating_sub(slots);
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -264,6 +264,8 @@
     }
 }
 
+/// Forecasts of the first event after which, beyond the aim, an upstream counts as silent.
+const SILENT_FORECASTS: f64 = 4.0;
 /// One in so many of the connections that an upstream accepts may be idle.
 const KEPT_PART: usize = 4;
 /// Advice to callers of a service that has no pool.
@@ -373,6 +375,22 @@
         self.with_pool(|pool| pool.first(self.run, clock::now()));
     }
 
+    /// Time after which the upstream counts as silent when it has not begun to answer a call with
+    /// this aim.
+    pub(crate) fn silence(&self, aim: Span) -> Span {
+        let board = self.cx.board.borrow();
+        let desk = board.desks.get(&self.service);
+        let forecast = desk.map_or(0.0, |d| d.pool.forecast_of(self.run, clock::now()));
+        aim + Span::from_secs_f64(SILENT_FORECASTS * forecast / 1e3)
+    }
+
+    /// True when an upstream that was not `tried` has a free place.
+    pub(crate) fn has_other(&self, tried: &[NodeKey]) -> bool {
+        let board = self.cx.board.borrow();
+        let desk = board.desks.get(&self.service);
+        desk.is_some_and(|d| d.pool.has_other(self.key, tried, clock::now()))
+    }
+
     /// Records what the upstream said of its load.
     pub(crate) fn reported(&self, running: u32, waiting: u32) {
         self.with_pool(|pool| pool.reported(self.key, running, waiting, clock::now()));
--- a/stoatjunction_entry/src/exchange.rs
+++ b/stoatjunction_entry/src/exchange.rs
@@ -41,6 +41,17 @@
     pub(crate) addr: String,
 }
 
+/// On what terms a message is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Terms {
+    pub(crate) repeat: Repeat,
+    pub(crate) until: Time,
+    /// Time after which an upstream that has not begun to answer counts as silent.
+    pub(crate) silence: Span,
+    /// True when the message may still go to another upstream.
+    pub(crate) has_another: bool,
+}
+
 /// The head of an answer with the connection that brings its body.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -61,6 +72,8 @@
     NotRun { status: u16 },
     /// The upstream may have run the request.
     Broken,
+    /// The upstream has not begun to answer for much longer than forecast.
+    Silent,
 }
 
 /// Sends `message` and waits for the head of the answer.
@@ -68,12 +81,13 @@
     cx: &Rc<Context>,
     message: &Message,
     target: &Target,
-    repeat: Repeat,
-    until: Time,
+    terms: &Terms,
     placed: &Placed,
     sent: &dyn Fn(),
 ) -> Result<Answer, NoAnswer> {
-    let kept = repeat
+    let until = terms.until;
+    let kept = terms
+        .repeat
         .is_idempotent()
         .then(|| cx.connections.take(&target.id))
         .flatten();
@@ -95,7 +109,8 @@
     }
     let req = request(message, target, left, &cx.names);
     sent();
-    let answer = connection.sender.try_send_request(req).await;
+    let answer = connection.sender.try_send_request(req);
+    let answer = patiently(answer, terms, placed, message, target).await?;
     let res = answer.map_err(|mut e| {
         if e.take_message().is_some() {
             return NoAnswer::NotSent;
@@ -111,6 +126,36 @@
     check(&cx.names, message, target, res, connection, placed)
 }
 
+/// Waits for an answer. An upstream that stays silent is noted; the wait ends only for a message that
+/// may be sent again.
+async fn patiently<F, T>(
+    answer: F,
+    terms: &Terms,
+    placed: &Placed,
+    message: &Message,
+    target: &Target,
+) -> Result<T, NoAnswer>
+where
+    F: Future<Output = T>,
+{
+    tokio::pin!(answer);
+    let limit = terms.silence.into();
+    if let Ok(answer) = tokio::time::timeout(limit, &mut answer).await {
+        return Ok(answer);
+    }
+    placed.observe(Outcome::Silent);
+    log::info!(
+        "event=silent request={} upstream={} after_ms={}",
+        message.shown_id(),
+        target.id,
+        terms.silence.as_millis()
+    );
+    if terms.repeat.is_idempotent() && terms.has_another {
+        return Err(NoAnswer::Silent);
+    }
+    Ok(answer.await)
+}
+
 /// Time left below which nothing is sent any more.
 const LEAST_LEFT: Span = Span::from_millis(5);
 
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -23,7 +23,7 @@
 use crate::board::{Context, Placed};
 use crate::clock;
 use crate::events::Events;
-use crate::exchange::{self, Answer, Message, NoAnswer, Target};
+use crate::exchange::{self, Answer, Message, NoAnswer, Target, Terms};
 use crate::pump::{Body, BrokenOff};
 use crate::refusal::Refusal;
 
@@ -376,16 +376,13 @@
         };
         tell_parts(cx, &call, &placed);
         log_placed(cx, &call, &placed, &target);
-        let result = exchange::send(
-            cx,
-            &call.message,
-            &target,
-            call.route.repeat,
-            call.until,
-            &placed,
-            &sent,
-        )
-        .await;
+        let terms = Terms {
+            repeat: call.route.repeat,
+            until: call.until,
+            silence: placed.silence(call.route.aim),
+            has_another: attempts + 1 < call.route.attempts && placed.has_other(&call.need.tried),
+        };
+        let result = exchange::send(cx, &call.message, &target, &terms, &placed, &sent).await;
         let key = placed.key;
         match result {
             Ok(answer) => match finish(cx, &mut call, answer, placed, &target).await {
@@ -422,6 +419,7 @@
                 note_break(cx, &call);
                 attempts += 1;
             }
+            Err(NoAnswer::Silent) => attempts += 1,
         }
         if progress.may_have_run.get() && !call.route.repeat.is_idempotent() {
             return Err(Refusal::new(Code::UpstreamBroken));
@@ -611,6 +609,7 @@
         service: call.service.clone(),
         repeat: call.route.repeat,
         attempts: call.route.attempts,
+        aim: call.route.aim,
         until: call.until,
         need: call.need.clone(),
         events: std::mem::take(&mut call.events),
@@ -629,6 +628,7 @@
     service: String,
     repeat: Repeat,
     attempts: u32,
+    aim: Span,
     until: Time,
     need: Need,
     events: Events,
@@ -759,15 +759,14 @@
             }
             let key = placed.key;
             let left = clock::instant(self.until);
-            let exchange = exchange::send(
-                &self.cx,
-                &self.message,
-                &target,
-                self.repeat,
-                self.until,
-                &placed,
-                &|| {},
-            );
+            let terms = Terms {
+                repeat: self.repeat,
+                until: self.until,
+                silence: placed.silence(self.aim),
+                has_another: *sent + 1 < self.attempts && placed.has_other(&self.need.tried),
+            };
+            let exchange =
+                exchange::send(&self.cx, &self.message, &target, &terms, &placed, &|| {});
             let result = tokio::select! {
                 result = exchange => result,
                 () = self.tx.closed() => return None,
