--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -8,6 +8,8 @@
 pub mod engine;
 pub mod health;
 pub mod limit;
+pub mod need;
+pub mod node;
 pub mod parts;
 pub mod pool;
 pub mod queue;
--- /dev/null
+++ b/stoatjunction_core/src/entry/need.rs
@@ -0,0 +1,44 @@
+//! What a call needs of its pool, and its place among all waiting calls.
+
+use super::parts::Part;
+use super::pool::NodeKey;
+use crate::time::{Span, Time};
+
+/// What a call needs of its pool.
+#[derive(Clone, Debug, Default)]
+pub struct Need {
+    /// Rank of the organisation and of the route.
+    pub rank: (u8, u8),
+    /// Parts of the prompt; empty for plain calls.
+    pub prompt: Vec<Part>,
+    /// Moment until which the first answer is in time.
+    pub in_time: Time,
+    /// Moment until which the call may wait for a place.
+    pub wait_until: Time,
+    /// Time it may wait once it can no longer be in time.
+    pub late_wait: Span,
+    /// True for a call that comes back after its time: it runs when there is room to spare.
+    pub late: bool,
+    /// True when the call may be sent again.
+    pub idempotent: bool,
+    /// Upstreams it was already sent to.
+    pub tried: Vec<NodeKey>,
+    /// Random number of the call, for draws among calls of equal rank.
+    pub salt: u64,
+}
+
+/// Place of a call in the order of all waiting calls; lower goes first.
+pub type Order = u8;
+
+impl Need {
+    /// Place of the call in the order of all waiting calls.
+    pub fn order(&self) -> Order {
+        let late = if self.late { LATE_ORDER } else { 0 };
+        late + self.rank.0.min(MOST_RANK) * (MOST_RANK + 1) + self.rank.1.min(MOST_RANK)
+    }
+}
+
+/// Highest rank that is told apart.
+const MOST_RANK: u8 = 7;
+/// Order of the most urgent late call.
+const LATE_ORDER: Order = 128;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -6,8 +6,11 @@
 
 use indexmap::IndexMap;
 
-use super::engine::{Factor, Line};
-use super::health::{Health, Outcome};
+use super::engine::Line;
+use super::health::Outcome;
+pub use super::need::{Need, Order};
+use super::node::number_of;
+pub use super::node::{Load, Node};
 use super::parts::{Part, Parts};
 use super::view::Listed;
 use crate::arena::{Arena, Key};
@@ -16,8 +19,6 @@
 
 /// Time after which another host's word on its load counts no more.
 const PEER_AGE: Span = Span::from_millis(1_500);
-/// Time for which a report of more load than is known counts.
-const EXCESS_AGE: Span = Span::from_millis(500);
 /// Milliseconds that a run in another data centre has to save, for the bytes between them.
 const FAR_MS: f64 = 6.0;
 /// The same while hosts of other data centres tell of their loads only now and then.
@@ -61,31 +62,6 @@
     }
 }
 
-/// What one host runs on an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Requests.
-    pub running: u32,
-    /// Prompt tokens still to be read.
-    pub unread: u32,
-}
-
-/// An upstream.
-#[derive(Clone, Debug)]
-pub struct Node {
-    /// As the platform lists it.
-    pub listed: Listed,
-    /// Number by which hosts name it among themselves.
-    pub number: u64,
-    own: Load,
-    others: Load,
-    excess: u32,
-    excess_at: Time,
-    cold_until: Time,
-    health: Health,
-    factor: Factor,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Run {
     node: NodeKey,
@@ -96,45 +72,6 @@
     first: bool,
 }
 
-/// What a call needs of its pool.
-#[derive(Clone, Debug, Default)]
-pub struct Need {
-    /// Rank of the organisation and of the route.
-    pub rank: (u8, u8),
-    /// Parts of the prompt; empty for plain calls.
-    pub prompt: Vec<Part>,
-    /// Moment until which the first answer is in time.
-    pub in_time: Time,
-    /// Moment until which the call may wait for a place.
-    pub wait_until: Time,
-    /// Time it may wait once it can no longer be in time.
-    pub late_wait: Span,
-    /// True for a call that comes back after its time: it runs when there is room to spare.
-    pub late: bool,
-    /// True when the call may be sent again.
-    pub idempotent: bool,
-    /// Upstreams it was already sent to.
-    pub tried: Vec<NodeKey>,
-    /// Random number of the call, for draws among calls of equal rank.
-    pub salt: u64,
-}
-
-/// Place of a call in the order of all waiting calls; lower goes first.
-pub type Order = u8;
-
-impl Need {
-    /// Place of the call in the order of all waiting calls.
-    pub fn order(&self) -> Order {
-        let late = if self.late { LATE_ORDER } else { 0 };
-        late + self.rank.0.min(MOST_RANK) * (MOST_RANK + 1) + self.rank.1.min(MOST_RANK)
-    }
-}
-
-/// Highest rank that is told apart.
-const MOST_RANK: u8 = 7;
-/// Order of the most urgent late call.
-const LATE_ORDER: Order = 128;
-
 /// What to do with a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
@@ -222,17 +159,7 @@
             return;
         }
         self.drop_node(&l.id);
-        let key = self.nodes.insert(Node {
-            listed: l.clone(),
-            number: number_of(&l.id, l.born),
-            own: Load::default(),
-            others: Load::default(),
-            excess: 0,
-            excess_at: Time::default(),
-            cold_until: now + Span::from_millis(l.cold_ms),
-            health: Health::default(),
-            factor: Factor::default(),
-        });
+        let key = self.nodes.insert(Node::new(l, now));
         self.by_id.insert(l.id.clone(), key);
         self.by_number.insert(number_of(&l.id, l.born), key);
     }
@@ -603,39 +530,3 @@
 const TURN: Span = Span::from_millis(30);
 /// Part of all places that each step of rank leaves free.
 const RESERVE: f64 = 0.008;
-
-impl Node {
-    /// What this host runs here.
-    pub fn own(&self) -> Load {
-        self.own
-    }
-
-    /// How much slower than the pool, and from how many observations.
-    pub fn factor(&self) -> (f64, u32) {
-        (self.factor.get(), self.factor.count())
-    }
-
-    /// True while the upstream is better left alone.
-    pub fn is_avoided(&self, now: Time) -> bool {
-        self.health.is_avoided(now)
-    }
-
-    /// Requests that run here, of all hosts.
-    pub fn running(&self, now: Time) -> u32 {
-        self.load(now).running
-    }
-
-    fn load(&self, now: Time) -> Load {
-        let fresh = now.since(self.excess_at) < EXCESS_AGE;
-        let excess = if fresh { self.excess } else { 0 };
-        Load {
-            running: self.own.running + self.others.running + excess,
-            unread: self.own.unread + self.others.unread,
-        }
-    }
-}
-
-/// A number for an upstream that hosts use among themselves.
-fn number_of(id: &str, born: u64) -> u64 {
-    hash::hash_parts(&[id.as_bytes(), &born.to_le_bytes()])
-}
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -19,6 +19,7 @@
 
 use crate::clock;
 use crate::connections::{Connection, Connections};
+use crate::exchange::Target;
 use crate::names::Names;
 use crate::settings::EntrySettings;
 
@@ -370,6 +371,16 @@
         &self.service
     }
 
+    /// Where the call goes, while the upstream is listed.
+    pub(crate) fn target(&self) -> Option<Target> {
+        let board = self.cx.board.borrow();
+        let node = board.desks.get(&self.service)?.pool.node(self.key)?;
+        Some(Target {
+            id: node.listed.id.clone(),
+            addr: node.listed.addr.clone(),
+        })
+    }
+
     /// Records the first event, or the head of a plain answer.
     pub(crate) fn first(&self) {
         self.with_pool(|pool| pool.first(self.run, clock::now()));
--- /dev/null
+++ b/stoatjunction_entry/src/call.rs
@@ -0,0 +1,263 @@
+//! Letting a request in: route, organisation, body, limit, and what it needs of its pool.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use stoatjunction_core::code::Code;
+use stoatjunction_core::entry::config::{Organisation, Route};
+use stoatjunction_core::entry::limit::Standing;
+use stoatjunction_core::entry::parts::Part;
+use stoatjunction_core::entry::pool::Need;
+use stoatjunction_core::entry::route::{Denied, Routes, split};
+use stoatjunction_core::hash;
+use stoatjunction_core::time::{Span, Time};
+
+use crate::board::Context;
+use crate::clock;
+use crate::events::Events;
+use crate::exchange::Message;
+use crate::refusal::Refusal;
+
+/// Headers that concern one connection only.
+pub(crate) const OF_CONNECTION: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+/// Longest wait of a call that comes back late.
+pub(crate) const LATE_WAIT: Span = Span::from_millis(250);
+/// Part of the aim for which a call waits once it can no longer be in time.
+const MISSED_WAIT: f64 = 0.25;
+/// Part of the aim that is planned with; the rest is for the way to the caller and for errors of
+/// the forecast.
+const PLANNED: f64 = 0.92;
+
+/// A request that was let in.
+pub(crate) struct Call {
+    pub(crate) message: Message,
+    pub(crate) route: Route,
+    pub(crate) service: String,
+    pub(crate) organisation: Option<u64>,
+    pub(crate) units: u64,
+    pub(crate) fingerprint: u64,
+    pub(crate) until: Time,
+    pub(crate) need: Need,
+    pub(crate) events: Events,
+}
+
+/// Lets a request in: finds its route and organisation, reads its body, takes its units.
+///
+/// # Errors
+///
+/// The refusal of a request that is not let in.
+pub(crate) async fn let_in(
+    cx: &Rc<Context>,
+    routes: &Rc<Routes>,
+    req: Request<Incoming>,
+    arrived: Time,
+) -> Result<Call, Refusal> {
+    let (head, body) = req.into_parts();
+    let host = head
+        .uri
+        .authority()
+        .map(|a| a.as_str())
+        .or_else(|| head.headers.get(HOST).and_then(|h| h.to_str().ok()))
+        .unwrap_or_default();
+    let key = head.headers.get(&cx.names.key);
+    let key = key.map(|k| k.to_str().unwrap_or_default());
+    let admitted = routes.admit(host, head.uri.path(), key);
+    let (route, organisation) = admitted.map_err(|denied| match denied {
+        Denied::NoRoute => Refusal::new(Code::NoRoute),
+        Denied::NoKey => Refusal::new(Code::UnknownKey),
+    })?;
+    let limited = Limited::new(body, routes.cfg().limits.body_bytes);
+    let body = limited.collect().await.map_err(|e| {
+        let too_long = e.is::<http_body_util::LengthLimitError>();
+        Refusal::new(if too_long {
+            Code::BodyTooLarge
+        } else {
+            Code::BodyIncomplete
+        })
+    })?;
+    let body = body.to_bytes();
+    let (route, organisation) = (route.clone(), organisation.cloned());
+    build_call(cx, &head, body, route, organisation, arrived)
+}
+
+fn build_call(
+    cx: &Rc<Context>,
+    head: &http::request::Parts,
+    body: Bytes,
+    route: Route,
+    organisation: Option<Organisation>,
+    arrived: Time,
+) -> Result<Call, Refusal> {
+    let names = &cx.names;
+    let number = |name: &HeaderName| -> Option<u64> {
+        head.headers.get(name)?.to_str().ok()?.trim().parse().ok()
+    };
+    let deadline = number(&names.deadline).map(Span::from_millis);
+    let left = deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let service = split(&route, fastrand::f64())
+        .ok_or(Refusal::later(Code::NoUpstream, Span::from_millis(1_000)))?;
+    let service = service.to_owned();
+    let tokens = head.headers.get(&names.tokens).and_then(token_counts);
+    let units = units_of(organisation.as_ref(), tokens);
+    let organisation_id = organisation
+        .as_ref()
+        .map(|o| hash::hash_parts(&[o.name.as_bytes()]));
+    let holder = organisation.as_ref().map_or("", |o| o.name.as_str());
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fingerprint = hash::hash_parts(&[path.as_bytes(), holder.as_bytes(), &body]);
+    let prompt = head.headers.get(&names.prompt).map(parts_of);
+    let spent = {
+        let mut board = cx.board.borrow_mut();
+        deadline.map_or(Span::ZERO, |d| board.elapsed(&route.name, d))
+    };
+    let until = arrived + left;
+    let need = need_of(&route, organisation.as_ref(), prompt, arrived, spent, until);
+    let message = Message {
+        method: head.method.clone(),
+        uri: path.parse().map_err(|_| Refusal::new(Code::BadHeader))?,
+        headers: forwarded(cx, &head.headers, organisation.as_ref()),
+        body,
+        id: head.headers.get(&names.request_id).cloned(),
+    };
+    let mut call = Call {
+        message,
+        service,
+        organisation: organisation_id,
+        units,
+        fingerprint,
+        until,
+        need,
+        events: Events::after(number(&names.last_event)),
+        route,
+    };
+    if admit(cx, &call)? == Standing::Beyond {
+        call.need.late = true;
+        call.need.wait_until = (arrived + call.need.late_wait).min(until);
+    }
+    Ok(call)
+}
+
+/// Checks the organisation's limit and whether the request is known to break upstreams.
+fn admit(cx: &Rc<Context>, call: &Call) -> Result<Standing, Refusal> {
+    let now = clock::now();
+    let mut board = cx.board.borrow_mut();
+    if board.suspects.is_barred(call.fingerprint) {
+        return Err(Refusal::later(Code::Barred, Span::from_millis(10_000)));
+    }
+    let mut standing = Standing::Within;
+    if let Some(organisation) = call.organisation {
+        let taken = board.limits.take(organisation, call.units, now);
+        standing = taken.map_err(|wait| Refusal::later(Code::OverLimit, wait))?;
+    }
+    board.budget.request(&call.service, now);
+    Ok(standing)
+}
+
+fn need_of(
+    route: &Route,
+    organisation: Option<&Organisation>,
+    prompt: Option<Vec<Part>>,
+    arrived: Time,
+    spent: Span,
+    until: Time,
+) -> Need {
+    let idempotent = route.repeat.is_idempotent();
+    let rank = (organisation.map_or(0, |o| o.priority), route.priority);
+    if !route.repeat.is_stream() {
+        return Need {
+            rank,
+            in_time: until,
+            wait_until: until.back(Span(route.aim.0 / 2)),
+            idempotent,
+            salt: fastrand::u64(..),
+            ..Need::default()
+        };
+    }
+    let planned = Span((route.aim.0 as f64 * PLANNED) as u64);
+    let late = spent >= planned;
+    let in_time = arrived + (planned - spent);
+    let wait_until = if late { arrived + LATE_WAIT } else { in_time };
+    Need {
+        rank,
+        prompt: prompt.unwrap_or_default(),
+        in_time,
+        wait_until: wait_until.min(until),
+        late_wait: Span((route.aim.0 as f64 * MISSED_WAIT) as u64),
+        late,
+        idempotent,
+        tried: Vec::new(),
+        salt: fastrand::u64(..),
+    }
+}
+
+fn units_of(organisation: Option<&Organisation>, tokens: Option<(u64, u64)>) -> u64 {
+    match organisation {
+        Some(o) if o.by_tokens => tokens.map_or(o.plain_tokens, |(i, o)| i + o),
+        _ => 1,
+    }
+}
+
+fn token_counts(value: &HeaderValue) -> Option<(u64, u64)> {
+    let (input, output) = value.to_str().ok()?.split_once(',')?;
+    Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+}
+
+fn parts_of(value: &HeaderValue) -> Vec<Part> {
+    let text = value.to_str().unwrap_or_default();
+    let part = |entry: &str| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        Some(Part {
+            id: hash::hash_parts(&[id.as_bytes()]) as u32,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').filter_map(part).collect()
+}
+
+/// The caller's headers as an upstream may see them.
+fn forwarded(
+    cx: &Rc<Context>,
+    headers: &HeaderMap,
+    organisation: Option<&Organisation>,
+) -> HeaderMap {
+    let names = &cx.names;
+    let mut out = headers.clone();
+    let listed: Vec<HeaderName> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|t| t.trim().parse().ok())
+        .collect();
+    for name in OF_CONNECTION {
+        out.remove(name);
+    }
+    let own = [
+        &names.key,
+        &names.organisation,
+        &names.expected_upstream,
+        &names.deadline,
+    ];
+    for name in own.into_iter().chain(&listed).chain(&names.reserved) {
+        out.remove(name);
+    }
+    if let Some(o) = organisation
+        && let Ok(name) = HeaderValue::from_str(&o.name)
+    {
+        out.insert(names.organisation.clone(), name);
+    }
+    out
+}
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! of [`stoatjunction_core::entry`].
 
 pub mod board;
+mod call;
 pub mod clock;
 mod connections;
 pub mod daemon;
@@ -19,3 +20,4 @@
 mod refusal;
 pub mod settings;
 mod sockets;
+mod stream;
--- /dev/null
+++ b/stoatjunction_entry/src/stream.rs
@@ -0,0 +1,205 @@
+//! A stream on its way to its caller, over as many upstreams as it may take.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http_body_util::BodyExt;
+use stoatjunction_core::entry::config::Repeat;
+use stoatjunction_core::entry::health::Outcome;
+use stoatjunction_core::entry::pool::Need;
+use stoatjunction_core::time::{Span, Time};
+use tokio::sync::mpsc;
+
+use crate::board::{Context, Placed};
+use crate::call::LATE_WAIT;
+use crate::clock;
+use crate::events::Events;
+use crate::exchange::{self, Answer, Message, NoAnswer, Target, Terms};
+use crate::pump::BrokenOff;
+
+/// Upstreams that one request may find unreachable.
+pub(crate) const MOST_UNREACHABLE: u32 = 4;
+
+/// A stream on its way to the caller.
+pub(crate) struct Stream {
+    pub(crate) cx: Rc<Context>,
+    pub(crate) message: Message,
+    pub(crate) service: String,
+    pub(crate) repeat: Repeat,
+    pub(crate) attempts: u32,
+    pub(crate) aim: Span,
+    pub(crate) until: Time,
+    pub(crate) need: Need,
+    pub(crate) events: Events,
+    pub(crate) fingerprint: u64,
+    pub(crate) tx: mpsc::Sender<Result<Bytes, BrokenOff>>,
+}
+
+/// How one upstream's part of a stream ended.
+enum PartEnd {
+    Whole,
+    Broken,
+    CallerGone,
+    Late,
+}
+
+impl Stream {
+    /// Passes the stream on to its end.
+    pub(crate) async fn run(mut self, answer: Answer, placed: Placed, target: Target) {
+        self.cx.in_progress.set(self.cx.in_progress.get() + 1);
+        let whole = self.follow(answer, placed, target).await;
+        if !whole {
+            let _caller_may_have_left = self.tx.send(Err(BrokenOff)).await;
+        }
+        self.cx.in_progress.set(self.cx.in_progress.get() - 1);
+    }
+
+    /// Passes the stream on, over as many upstreams as it may take; true when it is whole.
+    async fn follow(&mut self, mut answer: Answer, mut placed: Placed, mut target: Target) -> bool {
+        let mut sent = 1;
+        loop {
+            let key = placed.key;
+            match self.pass(&mut answer).await {
+                PartEnd::Whole => {
+                    placed.end(Outcome::Good);
+                    self.log_end("answered", &target);
+                    let idle = answer.stated_idle;
+                    let service = &self.service;
+                    self.cx.keep(service, &target.id, answer.connection, idle);
+                    self.cx.board.borrow_mut().suspects.ended(self.fingerprint);
+                    return true;
+                }
+                PartEnd::CallerGone => {
+                    self.log_end("caller_left", &target);
+                    return true;
+                }
+                PartEnd::Late => {
+                    self.log_end("late_in_stream", &target);
+                    return false;
+                }
+                PartEnd::Broken => {
+                    placed.end(Outcome::Broken);
+                    self.log_end("cut_in_stream", &target);
+                }
+            }
+            drop(answer);
+            self.need.tried.push(key);
+            match self.resume(&mut sent).await {
+                Some(next) => (answer, placed, target) = next,
+                None => return false,
+            }
+        }
+    }
+
+    fn log_end(&self, event: &str, target: &Target) {
+        let level = if event == "answered" {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
+            "event={event} request={} upstream={} last_event={}",
+            self.message.shown_id(),
+            target.id,
+            self.events.last().unwrap_or(0)
+        );
+    }
+
+    async fn pass(&mut self, answer: &mut Answer) -> PartEnd {
+        let limit = tokio::time::sleep_until(clock::instant(self.until));
+        tokio::pin!(limit);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.tx.closed() => return PartEnd::CallerGone,
+                frame = answer.body.frame() => frame,
+                () = &mut limit => return PartEnd::Late,
+            };
+            let data = match frame {
+                None if self.events.end().is_ok() => return PartEnd::Whole,
+                None | Some(Err(_)) => return PartEnd::Broken,
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            let Ok(piece) = self.events.take(&data) else {
+                return PartEnd::Broken;
+            };
+            if !piece.is_empty() && self.tx.send(Ok(piece)).await.is_err() {
+                return PartEnd::CallerGone;
+            }
+        }
+    }
+
+    /// Lets another upstream go on with the stream.
+    async fn resume(&mut self, sent: &mut u32) -> Option<(Answer, Placed, Target)> {
+        if self.repeat != Repeat::Resumable {
+            return None;
+        }
+        self.events.restart();
+        if let Some(last) = self.events.last() {
+            let name = self.cx.names.last_event.clone();
+            self.message.headers.insert(name, HeaderValue::from(last));
+        }
+        let mut unreachable = 0;
+        while *sent < self.attempts && unreachable < MOST_UNREACHABLE {
+            let now = clock::now();
+            self.need.late = true;
+            self.need.wait_until = (now + LATE_WAIT).min(self.until);
+            let placed = self.place().await?;
+            let target = placed.target()?;
+            let (_, known) = self.cx.reach();
+            let allowed = self
+                .cx
+                .board
+                .borrow_mut()
+                .budget
+                .repeat(&self.service, known, now);
+            if !allowed {
+                return None;
+            }
+            let key = placed.key;
+            let left = clock::instant(self.until);
+            let terms = Terms {
+                repeat: self.repeat,
+                until: self.until,
+                silence: placed.silence(self.aim),
+                has_another: *sent + 1 < self.attempts && placed.has_other(&self.need.tried),
+            };
+            let exchange =
+                exchange::send(&self.cx, &self.message, &target, &terms, &placed, &|| {});
+            let result = tokio::select! {
+                result = exchange => result,
+                () = self.tx.closed() => return None,
+                () = tokio::time::sleep_until(left) => return None,
+            };
+            match result {
+                Ok(answer) if answer.head.status.is_success() => {
+                    placed.first();
+                    self.log_end("resumed", &target);
+                    return Some((answer, placed, target));
+                }
+                Err(NoAnswer::NotSent) => unreachable += 1,
+                Err(NoAnswer::TooLate) => return None,
+                Ok(_) => {
+                    placed.end(Outcome::Error);
+                    *sent += 1;
+                }
+                Err(_) => {
+                    placed.end(Outcome::Broken);
+                    *sent += 1;
+                }
+            }
+            self.need.tried.push(key);
+        }
+        None
+    }
+
+    async fn place(&self) -> Option<Placed> {
+        let wait = self.cx.place(&self.service, self.need.clone());
+        tokio::select! {
+            placed = wait => placed.ok(),
+            () = self.tx.closed() => None,
+        }
+    }
+}
