--- a/stoatjunction_core/src/entry/limit.rs
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -34,6 +34,19 @@
     pub units: f64,
 }
 
+/// Part of a tolerance that is planned with; the rest covers hosts that hear of each other late.
+const PLANNED: f64 = 0.75;
+
+impl Leeway {
+    /// The part of this tolerance that hosts may use.
+    pub fn planned(self) -> Leeway {
+        Leeway {
+            rate: self.rate * PLANNED,
+            units: self.units * PLANNED,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Bucket {
     level: f64,
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -109,7 +109,7 @@
             view: View::default(),
             has_list: false,
             desks: IndexMap::new(),
-            limits: Limits::new(settings.leeway, clock::now()),
+            limits: Limits::new(settings.tolerance.planned(), clock::now()),
             budget: Budget::new(settings.budget),
             suspects: Suspects::default(),
             news: News::default(),
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -28,8 +28,8 @@
     pub seeds: Vec<IpAddr>,
     /// Budget of second sendings.
     pub budget: BudgetRule,
-    /// What organisations may use beyond their limits.
-    pub leeway: Leeway,
+    /// What organisations may use beyond their limits at the very most.
+    pub tolerance: Leeway,
     /// Time in which an upstream that leaves must get no more work.
     pub drain: Span,
     /// Time from SIGTERM until the process has to be gone.
@@ -55,7 +55,7 @@
                 extra: 20.0,
                 window: Span::from_millis(10_000),
             },
-            leeway: Leeway::default(),
+            tolerance: Leeway::default(),
             drain: Span::from_millis(2_000),
             grace: Duration::from_secs(8),
             files: 4_096,
