--- a/stoatjunction_core/src/entry/limit.rs
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -102,6 +102,11 @@
         bucket.level = bucket.level.min(burst * share);
     }
 
+    /// Changes what may be admitted beyond the limits; rates follow with the next configuration.
+    pub fn set_leeway(&mut self, leeway: Leeway) {
+        self.leeway = leeway;
+    }
+
     /// Sets the part of all hosts that hear each other, this one included.
     pub fn set_reach(&mut self, heard: usize, known: usize, now: Time) {
         let share = (heard.max(1) as f64 / known.max(1) as f64).min(1.0);
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -75,6 +75,8 @@
     pub(crate) news: News,
     pub(crate) peers: IndexMap<std::net::IpAddr, Peer>,
     pub(crate) store_failed: Option<Time>,
+    /// Time in which an upstream that leaves must get no more work.
+    pub(crate) drain: Span,
     /// True while another host is asked for its view.
     pub(crate) asking: bool,
     full_deadlines: IndexMap<String, Span>,
@@ -115,6 +117,7 @@
             news: News::default(),
             peers: IndexMap::new(),
             store_failed: None,
+            drain: settings.drain,
             asking: false,
             full_deadlines: IndexMap::new(),
             next_call: 0,
@@ -130,6 +133,14 @@
         }
     }
 
+    /// Takes over the figures of changed settings that are not bound to sockets.
+    pub(crate) fn retune(&self, settings: &EntrySettings) {
+        let mut board = self.board.borrow_mut();
+        board.budget.set_rule(settings.budget);
+        board.limits.set_leeway(settings.tolerance.planned());
+        board.drain = settings.drain;
+    }
+
     /// Puts a newer configuration in force; true when it was newer.
     pub(crate) fn configure(&self, cfg: Configuration) -> bool {
         let mut board = self.board.borrow_mut();
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -7,6 +7,7 @@
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::daemon::Ended;
 use stoatjunction_net::stop::{self, Stop, StopRx};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -25,40 +26,47 @@
 const STILL_TAKING: Duration = Duration::from_millis(3_000);
 /// Time before the end of the grace at which what still runs is broken off.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// Pause between two looks at the settings.
+const SETTINGS: Duration = Duration::from_millis(1_000);
 /// Pause between two looks at what still runs.
 const LOOK: Duration = Duration::from_millis(25);
 /// Pause between two looks at waiting calls whose time may have come.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Runs the daemon until it is stopped.
+/// Runs the daemon until it is stopped. `reload` reads the settings anew.
 ///
 /// # Errors
 ///
 /// When an address cannot be listened on.
-pub async fn run<S>(
+pub async fn run<S, R>(
     settings: EntrySettings,
     names: Names,
     source: S,
+    reload: R,
     stop: StopRx,
 ) -> miette::Result<Ended>
 where
     S: Source + 'static,
+    R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
     let local = LocalSet::new();
     local
-        .run_until(serve(settings, names, Rc::new(source), stop))
+        .run_until(serve(settings, names, Rc::new(source), reload, stop))
         .await
 }
 
-async fn serve<S>(
+async fn serve<S, R>(
     settings: EntrySettings,
     names: Names,
     source: Rc<S>,
+    reload: R,
     stop: StopRx,
 ) -> miette::Result<Ended>
 where
     S: Source + 'static,
+    R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
+    let hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     let cx = Rc::new(Context::new(settings, names));
     let settings = &cx.settings;
     let (callers, ready) = ingress::listeners(settings.callers, settings.ready)
@@ -81,6 +89,7 @@
     spawn(Box::pin(beat(cx.clone())));
     spawn(Box::pin(tick(cx.clone())));
     spawn(Box::pin(feed::settle(cx.clone())));
+    spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
     for topic in [Topic::Configuration, Topic::Upstreams] {
         spawn(Box::pin(feed::follow(cx.clone(), source.clone(), topic)));
     }
@@ -96,6 +105,27 @@
     }
 }
 
+/// Puts changed settings in force, as far as a running process can take them over: on SIGHUP, and
+/// without one a little later.
+async fn follow_settings<R>(cx: Rc<Context>, mut hangup: Signal, reload: R)
+where
+    R: Fn() -> miette::Result<EntrySettings>,
+{
+    let mut known = cx.settings.clone();
+    loop {
+        let _either = tokio::time::timeout(SETTINGS, hangup.recv()).await;
+        match reload() {
+            Ok(new) if new == known => {}
+            Ok(new) => {
+                log::info!("event=settings_changed");
+                cx.retune(&new);
+                known = new;
+            }
+            Err(e) => log::warn!("event=settings_unreadable reason=\"{e}\""),
+        }
+    }
+}
+
 /// Looks at waiting calls whose time may have come.
 async fn tick(cx: Rc<Context>) {
     loop {
--- a/stoatjunction_entry/src/feed.rs
+++ b/stoatjunction_entry/src/feed.rs
@@ -151,9 +151,10 @@
 /// Time by which removals are put off, right after the store could not be reached: entries that
 /// expired meanwhile may come back. What is gone for good must still get no work in time.
 fn put_off(cx: &Context) -> Option<Span> {
-    let failed = cx.board.borrow().store_failed;
+    let board = cx.board.borrow();
+    let failed = board.store_failed;
     let unsure = failed.is_some_and(|at| clock::now().since(at) < UNSURE);
-    let drain = cx.settings.drain.0 as f64;
+    let drain = board.drain.0 as f64;
     unsure.then_some(Span((drain * PUT_OFF_PART) as u64))
 }
 
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -8,7 +8,7 @@
 use stoatjunction_core::time::Span;
 
 /// Settings of an entry daemon.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
     /// Name of the host.
     pub host: String,
