--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -13,6 +13,8 @@
 pub mod parts;
 pub mod pool;
 pub mod queue;
+pub mod rate;
 pub mod route;
+pub mod share;
 pub mod suspects;
 pub mod view;
--- a/stoatjunction_core/src/entry/node.rs
+++ b/stoatjunction_core/src/entry/node.rs
@@ -27,6 +27,8 @@
     pub number: u64,
     pub(super) own: Load,
     pub(super) others: Load,
+    /// Places here that are this host's own, where places are dealt out.
+    pub(super) dealt: Option<u32>,
     pub(super) excess: u32,
     pub(super) excess_at: Time,
     pub(super) cold_until: Time,
@@ -42,6 +44,7 @@
             number: number_of(&l.id, l.born),
             own: Load::default(),
             others: Load::default(),
+            dealt: None,
             excess: 0,
             excess_at: Time::default(),
             cold_until: now + Span::from_millis(l.cold_ms),
@@ -70,6 +73,25 @@
         self.load(now).running
     }
 
+    /// Places here that are this host's own, where places are dealt out.
+    pub fn dealt(&self) -> Option<u32> {
+        self.dealt
+    }
+
+    /// True when one of the places that are this host's own is free.
+    pub(super) fn has_own_place(&self) -> bool {
+        self.dealt.is_some_and(|n| self.own.running < n)
+    }
+
+    /// True when a place is free, of which `kept` more are left to the hosts that own them.
+    pub(super) fn has_place(&self, kept: u32, now: Time) -> bool {
+        let kept = match self.dealt {
+            Some(_) if !self.has_own_place() => kept,
+            _ => 0,
+        };
+        self.running(now) + kept < self.listed.slots
+    }
+
     /// Everything that is known to run here.
     pub(super) fn load(&self, now: Time) -> Load {
         let fresh = now.since(self.excess_at) < EXCESS_AGE;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -12,6 +12,8 @@
 use super::node::number_of;
 pub use super::node::{Load, Node};
 use super::parts::{Part, Parts};
+use super::rate::Rate;
+use super::share::{self, Member, Offer};
 use super::view::Listed;
 use crate::arena::{Arena, Key};
 use crate::hash;
@@ -27,6 +29,10 @@
 const CROWD_MS: f64 = 30.0;
 /// Milliseconds that a token costs in the choice, beyond its reading: it delays the neighbours.
 const NEIGHBOUR: f64 = 0.3;
+/// Milliseconds that a place of another host has to save.
+const AWAY_MS: f64 = 25.0;
+/// Time over which the demand of callers is counted.
+const DEMAND_MEMORY: Span = Span::from_millis(3_000);
 /// Mean time of a run before anything is learned, in milliseconds.
 const RUN_HINT: f64 = 800.0;
 /// Weight of a run in the mean time of runs.
@@ -100,6 +106,18 @@
     seed: u64,
     waiting: Counts,
     rivals: IndexMap<u64, (Counts, Time)>,
+    demand: Rate,
+    kept: Kept,
+}
+
+/// Places of an upstream that a host leaves free for those whose own they are, since it hears of
+/// their placings late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// In its own data centre.
+    pub near: u32,
+    /// In other data centres.
+    pub far: u32,
 }
 
 /// Numbers of waiting calls by order.
@@ -124,6 +142,8 @@
             seed,
             waiting: Counts::new(),
             rivals: IndexMap::new(),
+            demand: Rate::new(DEMAND_MEMORY),
+            kept: Kept::default(),
         }
     }
 
@@ -250,6 +270,49 @@
         f64::from(over) * self.run_ms * node.factor.get() / f64::from(slots)
     }
 
+    /// Counts a call that a caller asks for.
+    pub fn asked(&mut self, now: Time) {
+        self.demand.add(1.0, now);
+    }
+
+    /// Calls that callers have asked for of late, a second.
+    pub fn demand(&self, now: Time) -> f64 {
+        self.demand.get(now)
+    }
+
+    /// Deals out the places of this data centre among the hosts there, `own` being this one, and
+    /// sets how many places a host leaves to their owners.
+    pub fn deal(&mut self, members: &[Member], own: u64, kept: Kept) {
+        let here = self.nodes.iter();
+        let here = here.filter(|(_, n)| n.listed.dc == self.dc && !n.listed.draining);
+        let offers: Vec<Offer> = here
+            .map(|(key, n)| Offer {
+                key,
+                number: n.number,
+                slots: n.listed.slots,
+            })
+            .collect();
+        let dealt = share::deal(members, own, &offers);
+        self.kept = kept;
+        let nothing = dealt.as_ref().map(|_| 0);
+        for (_, node) in self.nodes.iter_mut() {
+            node.dealt = nothing;
+        }
+        for (key, n) in dealt.unwrap_or_default() {
+            if let Some(node) = self.nodes.get_mut(key) {
+                node.dealt = Some(n);
+            }
+        }
+    }
+
+    fn kept_at(&self, node: &Node) -> u32 {
+        if node.listed.dc == self.dc {
+            self.kept.near
+        } else {
+            self.kept.far
+        }
+    }
+
     /// Decides on a call. One that can no longer be in time becomes a late one: to come back would
     /// gain it nothing, and it still gets a place when there is room to spare.
     pub fn decide(&mut self, need: &mut Need, now: Time) -> Verdict {
@@ -268,7 +331,7 @@
             let unread = self.parts.unread(&need.prompt, key);
             let ms = self.forecast(node, unread, now);
             let cost = ms + self.extra_cost(node, key, unread, now);
-            let has_place = node.running(now) < node.listed.slots;
+            let has_place = node.has_place(self.kept_at(node), now);
             let better = best.is_none_or(|(c, _, _, p)| (!has_place, cost) < (!p, c));
             if better {
                 best = Some((cost, ms, key, has_place));
@@ -282,7 +345,9 @@
             need.late = true;
             need.wait_until = now + need.late_wait;
         }
-        if has_place && self.has_spare(need, now) && self.has_turn(need, now) {
+        let is_own = self.nodes.get(key).is_some_and(Node::has_own_place);
+        let has_turn = || is_own || self.has_turn(need, now);
+        if has_place && self.has_spare(need, now) && has_turn() {
             return Verdict::Place(key);
         }
         if now >= need.wait_until {
@@ -306,10 +371,14 @@
         } else {
             FAR_MS
         };
+        let away = match node.dealt {
+            Some(_) if !node.has_own_place() => AWAY_MS,
+            _ => 0.0,
+        };
         let neighbours = self.line.slope() * f64::from(unread) * NEIGHBOUR;
         let draw = hash::mix(self.seed ^ u64::from(key.0)) >> 40;
         let spread = draw as f64 / (1_u64 << 24) as f64;
-        crowd + far + neighbours + 2.0 * spread
+        crowd + far + away + neighbours + 2.0 * spread
     }
 
     /// True when the call's rank may take one of the free places: the last ones are kept for the
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -59,6 +59,8 @@
     pub(crate) boot: u64,
     pub(crate) heard: Time,
     pub(crate) dc: String,
+    /// Calls a second that its callers ask of each service.
+    pub(crate) demand: Vec<(String, f32)>,
 }
 
 /// What the controllers know.
@@ -224,6 +226,7 @@
         let Some(desk) = board.desks.get_mut(service) else {
             return Asked::Refused(NO_SERVICE);
         };
+        desk.pool.asked(now);
         if !desk.queue.is_ahead(&need) {
             let verdict = desk.pool.decide(&mut need, now);
             // A call that turned late meanwhile may have others ahead of it now.
@@ -285,6 +288,23 @@
 /// Silence after which another host counts as out of reach.
 pub(crate) const PEER_SILENT: Span = Span::from_millis(700);
 
+/// Something that has to end before the daemon may. It counts from its making to its drop.
+#[derive(Debug)]
+pub(crate) struct InProgress(Rc<Context>);
+
+impl InProgress {
+    pub(crate) fn new(cx: &Rc<Context>) -> InProgress {
+        cx.in_progress.set(cx.in_progress.get() + 1);
+        InProgress(cx.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
 /// Takes a call out of its queue when its caller leaves.
 struct Leave<'a> {
     cx: &'a Context,
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -13,7 +13,7 @@
 use stoatjunction_core::entry::suspects::Break;
 use stoatjunction_core::time::{Span, Time};
 
-use crate::board::{Context, Placed};
+use crate::board::{Context, InProgress, Placed};
 use crate::call::{Call, LATE_WAIT, OF_CONNECTION, let_in};
 use crate::clock;
 use crate::exchange::{self, Answer, NoAnswer, Target, Terms};
@@ -359,11 +359,13 @@
         repeat: call.route.repeat,
         attempts: call.route.attempts,
         aim: call.route.aim,
+        pause: call.route.pause,
         until: call.until,
         need: call.need.clone(),
         events: std::mem::take(&mut call.events),
         fingerprint: call.fingerprint,
         tx,
+        _in_progress: InProgress::new(cx),
     };
     let target = target.clone();
     tokio::task::spawn_local(stream.run(answer, placed, target));
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::board::{Context, Phase};
+use crate::board::{Context, InProgress, Phase};
 use crate::clock;
 use crate::forward;
 use crate::pump::Body;
@@ -118,16 +118,15 @@
 /// Marks a connection as busy.
 struct Busy {
     used: Rc<Use>,
-    cx: Rc<Context>,
+    _in_progress: InProgress,
 }
 
 impl Busy {
     fn new(cx: &Rc<Context>, used: &Rc<Use>) -> Busy {
         used.running.set(used.running.get() + 1);
-        cx.in_progress.set(cx.in_progress.get() + 1);
         Busy {
             used: used.clone(),
-            cx: cx.clone(),
+            _in_progress: InProgress::new(cx),
         }
     }
 }
@@ -136,7 +135,6 @@
     fn drop(&mut self) {
         self.used.running.set(self.used.running.get() - 1);
         self.used.last.set(clock::now());
-        self.cx.in_progress.set(self.cx.in_progress.get() - 1);
     }
 }
 
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::pool::{Counts, Load};
+use stoatjunction_core::entry::pool::{Counts, Kept, Load};
+use stoatjunction_core::entry::share::Member;
 use stoatjunction_core::entry::suspects::Break;
+use stoatjunction_core::hash;
 use stoatjunction_core::time::Span;
 use tokio::net::UdpSocket;
 
@@ -29,6 +31,8 @@
 const MAX_BEAT: usize = 60_000;
 /// Hosts beyond which those of other data centres get every change no more, only the slow beats.
 const MANY_HOSTS: usize = 24;
+/// Places left to their owners when there are many hosts, which hear of each other late.
+const KEPT_OF_MANY: Kept = Kept { near: 1, far: 2 };
 /// Least number of observations of an upstream's speed that is told.
 const TOLD_FROM: u32 = 3;
 
@@ -42,6 +46,8 @@
     loads: Vec<NodeLoad>,
     /// Waiting calls by order, by service.
     waiting: Vec<(String, Counts)>,
+    /// Calls a second that callers ask of each service.
+    demand: Vec<(String, f32)>,
     usage: Vec<(u64, u64)>,
     levels: Vec<(u64, f32)>,
     breaks: Vec<(u64, u64)>,
@@ -69,6 +75,7 @@
         let full = clock::now().since(last_full) >= Span::from(SLOWEST);
         if full {
             last_full = clock::now();
+            deal(&cx);
         }
         let told = tell(&cx, &socket, full).await;
         let pause = FASTEST.mul_f64((told as f64 / TOLD_AT_FASTEST).max(1.0));
@@ -134,6 +141,11 @@
     let waiting = waiting
         .map(|(service, d)| (service.clone(), d.pool.waiting().clone()))
         .collect();
+    let now = clock::now();
+    let demand = board.desks.iter();
+    let demand = demand
+        .map(|(service, d)| (service.clone(), d.pool.demand(now) as f32))
+        .collect();
     let breaks = board.news.breaks.iter();
     let breaks = breaks.map(|(b, _)| (b.fingerprint, b.sending)).collect();
     for (_, left) in &mut board.news.breaks {
@@ -150,6 +162,7 @@
         digest: board.view.digest(),
         loads,
         waiting,
+        demand,
         usage: board.limits.usage(),
         levels: board.limits.levels(),
         breaks,
@@ -186,6 +199,39 @@
     }
 }
 
+/// Deals the places of upstreams out among the hosts of this data centre that are heard.
+fn deal(cx: &Context) {
+    let now = clock::now();
+    let mut board = cx.board.borrow_mut();
+    let board = &mut *board;
+    let heard = board.peers.iter();
+    let near: Vec<(u64, &Peer)> = heard
+        .filter(|(_, p)| p.dc == cx.settings.dc && now.since(p.heard) < PEER_SILENT)
+        .map(|(ip, p)| (number_of(*ip), p))
+        .collect();
+    let own = number_of(cx.settings.ip);
+    let kept = if board.peers.len() > MANY_HOSTS {
+        KEPT_OF_MANY
+    } else {
+        Kept::default()
+    };
+    for (service, desk) in &mut board.desks {
+        let demand = desk.pool.demand(now);
+        let mut members = vec![Member { id: own, demand }];
+        members.extend(near.iter().map(|(id, p)| {
+            let told = p.demand.iter().find(|(s, _)| s == service);
+            let demand = told.map_or(0.0, |(_, d)| f64::from(*d));
+            Member { id: *id, demand }
+        }));
+        desk.pool.deal(&members, own, kept);
+    }
+}
+
+/// Number of a host for dealing out, the same at all hosts.
+fn number_of(ip: IpAddr) -> u64 {
+    hash::hash_parts(&[ip.to_string().as_bytes()])
+}
+
 async fn hear(cx: Rc<Context>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_BEAT];
     loop {
@@ -210,6 +256,7 @@
         boot: beat.boot,
         heard: now,
         dc: beat.dc,
+        demand: beat.demand,
     };
     match board.peers.insert(from, peer) {
         None => log::info!("event=host_heard host={from}"),
@@ -225,7 +272,13 @@
         if ip != cx.settings.ip && !board.peers.contains_key(&ip) {
             let dc = String::new();
             let (boot, heard) = (0, now.back(PEER_SILENT));
-            board.peers.insert(ip, Peer { boot, heard, dc });
+            let peer = Peer {
+                boot,
+                heard,
+                dc,
+                demand: Vec::new(),
+            };
+            board.peers.insert(ip, peer);
         }
     }
     board.limits.hear(beat.boot, &beat.usage, &beat.levels, now);
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -11,7 +11,7 @@
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::mpsc;
 
-use crate::board::{Context, Placed};
+use crate::board::{Context, InProgress, Placed};
 use crate::call::LATE_WAIT;
 use crate::clock;
 use crate::events::Events;
@@ -29,30 +29,39 @@
     pub(crate) repeat: Repeat,
     pub(crate) attempts: u32,
     pub(crate) aim: Span,
+    /// Longest pause between events that is still in time.
+    pub(crate) pause: Option<Span>,
     pub(crate) until: Time,
     pub(crate) need: Need,
     pub(crate) events: Events,
     pub(crate) fingerprint: u64,
     pub(crate) tx: mpsc::Sender<Result<Bytes, BrokenOff>>,
+    /// Counts from the answer's head on, so that a stop in that moment waits for the stream.
+    pub(crate) _in_progress: InProgress,
 }
 
 /// How one upstream's part of a stream ended.
 enum PartEnd {
     Whole,
     Broken,
+    Silent,
     CallerGone,
     Late,
 }
 
+/// Longest pauses after which a stream that may go on elsewhere does. Its answer is late by then, and
+/// callers bear about eight.
+const SILENT_PAUSES: u64 = 3;
+/// Time after which a stream counts as silent where no longest pause is stated.
+const SILENT_UNSTATED: Span = Span::from_millis(1_500);
+
 impl Stream {
     /// Passes the stream on to its end.
     pub(crate) async fn run(mut self, answer: Answer, placed: Placed, target: Target) {
-        self.cx.in_progress.set(self.cx.in_progress.get() + 1);
         let whole = self.follow(answer, placed, target).await;
         if !whole {
             let _caller_may_have_left = self.tx.send(Err(BrokenOff)).await;
         }
-        self.cx.in_progress.set(self.cx.in_progress.get() - 1);
     }
 
     /// Passes the stream on, over as many upstreams as it may take; true when it is whole.
@@ -60,7 +69,8 @@
         let mut sent = 1;
         loop {
             let key = placed.key;
-            match self.pass(&mut answer).await {
+            let may_move = self.repeat == Repeat::Resumable && sent < self.attempts;
+            match self.pass(&mut answer, &placed, may_move).await {
                 PartEnd::Whole => {
                     placed.end(Outcome::Good);
                     self.log_end("answered", &target);
@@ -82,6 +92,10 @@
                     placed.end(Outcome::Broken);
                     self.log_end("cut_in_stream", &target);
                 }
+                PartEnd::Silent => {
+                    placed.end(Outcome::Silent);
+                    self.log_end("silent_in_stream", &target);
+                }
             }
             drop(answer);
             self.need.tried.push(key);
@@ -107,16 +121,33 @@
         );
     }
 
-    async fn pass(&mut self, answer: &mut Answer) -> PartEnd {
+    /// Passes on what one upstream sends. A stream that `may_move` to another upstream ends when
+    /// this one falls silent and another has a place.
+    async fn pass(&mut self, answer: &mut Answer, placed: &Placed, may_move: bool) -> PartEnd {
         let limit = tokio::time::sleep_until(clock::instant(self.until));
-        tokio::pin!(limit);
+        let patience = self.patience();
+        let mut heard = clock::now();
+        let silence = tokio::time::sleep_until(clock::instant(heard + patience));
+        tokio::pin!(limit, silence);
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.tx.closed() => return PartEnd::CallerGone,
                 frame = answer.body.frame() => frame,
                 () = &mut limit => return PartEnd::Late,
+                () = &mut silence, if may_move => {
+                    let is_silent = clock::now() >= heard + patience;
+                    if is_silent && placed.has_other(&self.need.tried) {
+                        return PartEnd::Silent;
+                    }
+                    if is_silent {
+                        heard = clock::now();
+                    }
+                    silence.as_mut().reset(clock::instant(heard + patience));
+                    continue;
+                }
             };
+            heard = clock::now();
             let data = match frame {
                 None if self.events.end().is_ok() => return PartEnd::Whole,
                 None | Some(Err(_)) => return PartEnd::Broken,
@@ -131,6 +162,10 @@
         }
     }
 
+    fn patience(&self) -> Span {
+        self.pause.map_or(SILENT_UNSTATED, |p| Span(p.0 * SILENT_PAUSES))
+    }
+
     /// Lets another upstream go on with the stream.
     async fn resume(&mut self, sent: &mut u32) -> Option<(Answer, Placed, Target)> {
         if self.repeat != Repeat::Resumable {
