--- a/stoatjunction_standin/src/worker.rs
+++ b/stoatjunction_standin/src/worker.rs
@@ -28,6 +28,8 @@
     Stream(u64),
     /// Streams events up to this id, half of the next, and breaks off.
     Cut(u64),
+    /// Streams events up to this id and then nothing, until the other side closes the connection.
+    Pause(u64),
     /// Runs the request and closes the connection without an answer.
     Lost,
     /// Answers, and adds another answer that belongs to no request.
@@ -194,13 +196,10 @@
                 return Ok(false);
             }
             Act::Lost => return Ok(false),
-            Act::Hang => {
-                let mut rest = [0; 1];
-                let _closed_by_the_other_side = stream.read(&mut rest).await;
-                return Ok(false);
-            }
-            Act::Stream(last) => return self.stream(stream, seen, last, false).await,
-            Act::Cut(last) => return self.stream(stream, seen, last, true).await,
+            Act::Hang => return Ok(closed(stream).await),
+            Act::Stream(last) => return self.stream(stream, seen, last, End::Whole).await,
+            Act::Cut(last) => return self.stream(stream, seen, last, End::Cut).await,
+            Act::Pause(last) => return self.stream(stream, seen, last, End::Quiet).await,
         }
         Ok(true)
     }
@@ -210,7 +209,7 @@
         stream: &mut TcpStream,
         seen: &Seen,
         last: u64,
-        cut: bool,
+        end: End,
     ) -> io::Result<bool> {
         let id = seen.header("attempt-id").unwrap_or_default();
         let head = format!(
@@ -225,15 +224,32 @@
             chunk(stream, &format!("id: {event}\ndata: piece {event}\n\n")).await?;
             tokio::time::sleep(PACE).await;
         }
-        if cut {
-            chunk(stream, &format!("id: {}\nda", last + 1)).await?;
-            return Ok(false);
+        match end {
+            End::Whole => stream.write_all(b"0\r\n\r\n").await.map(|()| true),
+            End::Cut => {
+                let torn = format!("id: {}\nda", last + 1);
+                chunk(stream, &torn).await.map(|()| false)
+            }
+            End::Quiet => Ok(closed(stream).await),
         }
-        stream.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
     }
 }
 
+/// How a stream ends.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Whole,
+    Cut,
+    Quiet,
+}
+
+/// Waits until the other side closes the connection; it can be used no more then.
+async fn closed(stream: &mut TcpStream) -> bool {
+    let mut rest = [0; 1];
+    let _closed_by_the_other_side = stream.read(&mut rest).await;
+    false
+}
+
 async fn chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
     let framed = format!("{:x}\r\n{text}\r\n", text.len());
     stream.write_all(framed.as_bytes()).await
