--- a/stoatjunction_core/src/entry/limit.rs
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -21,8 +21,16 @@
 const MAX_LAG: Span = Span::from_millis(1_600);
 /// Silence after which a teller is forgotten.
 const FORGET: Span = Span::from_millis(30_000);
+/// Silence of a teller from which on it was out of reach.
+const AWAY: Span = Span::from_millis(1_000);
 /// Time for which use counts as recent; it is told so long, since some beats are lost.
 const RECENT: Span = Span::from_millis(1_000);
+/// Time after its start in which a host that hears nobody does not yet take itself for the only one.
+const ALONE: Span = Span::from_millis(1_000);
+/// Hosts that there may be, for one that has not heard of any yet.
+const MANY: usize = 16;
+/// Time after its start in which a host keeps to one host's share: others may have started with it.
+const SETTLING: Span = Span::from_millis(1_000);
 /// Longest advice to a caller over its limit.
 const MAX_WAIT: Span = Span::from_millis(10_000);
 
@@ -93,6 +101,16 @@
     pub at: Time,
 }
 
+/// Hosts within reach of one that started `age` ago, and hosts that are known, for
+/// [`Limits::set_reach`]. A host that has only started doesn't know how many others there are, nor
+/// what they have just used; when most of a fleet starts at once, each must not take all for its own.
+pub fn reach_of(age: Span, heard: usize, known: usize) -> (usize, usize) {
+    if known <= 1 && age < ALONE {
+        return (1, MANY);
+    }
+    (heard, known)
+}
+
 /// What a host used of one limit.
 #[derive(Clone, Copy, Debug, Default)]
 struct Used {
@@ -181,6 +199,8 @@
         }
         let lag = self.lag(now);
         let left = (share / self.share).min(1.0);
+        // The first level was for a host that knew of no other.
+        let is_first = self.tellers.is_empty() || now.since(self.started) < SETTLING;
         for bucket in self.buckets.values_mut() {
             bucket.refill(self.share, now);
             bucket.fade(self.faded);
@@ -189,6 +209,9 @@
                 bucket.level -= bucket.others * (1.0 - left) * lag;
             }
             bucket.others *= left;
+            if is_first && bucket.level > 0.0 {
+                bucket.level *= share / self.share;
+            }
             bucket.level = bucket.level.min(bucket.burst * share);
         }
         self.share = share;
@@ -269,11 +292,17 @@
     fn told_of(&self, used: &IndexMap<u64, Used>, now: Time) -> Vec<Told> {
         let fresh = used.iter();
         let fresh = fresh.filter(|(_, u)| now.since(u.changed) < Span(RECENT.0 * 2));
+        // What a host that has only started sees left says nothing to others that start.
+        let knows = now.since(self.started) >= SETTLING;
         let told = |(organisation, u): (&u64, &Used)| Told {
             organisation: *organisation,
             total: u.total,
             recent: u.total.saturating_sub(u.marks.0),
-            level: self.level(*organisation),
+            level: if knows {
+                self.level(*organisation)
+            } else {
+                f32::MAX
+            },
         };
         fresh.map(told).collect()
     }
@@ -311,10 +340,15 @@
         let covered = before.map_or(Span::ZERO, |b| teller.at.since(b));
         self.fade_others(covered, teller.hosts);
         let mut news = Vec::new();
+        // What a host used while it was out of reach came from its own share.
+        let was_away = before.is_none() || covered >= AWAY;
         for t in told {
-            let unheard = if before.is_none() { 0 } else { t.recent };
+            let unheard = if was_away { 0 } else { t.recent };
             let heard = self.heard.entry((teller.id, t.organisation));
             let known = heard.or_insert(t.total.saturating_sub(unheard));
+            if was_away {
+                *known = t.total;
+            }
             let used = t.total.saturating_sub(*known);
             *known = (*known).max(t.total);
             news.push((t.organisation, used));
--- a/stoatjunction_entry/src/beat.rs
+++ b/stoatjunction_entry/src/beat.rs
@@ -203,7 +203,11 @@
         peer.demand = std::mem::take(&mut before.demand);
     }
     board.met(from, peer);
+    let greets = board.news.new_host;
     drop(guard);
+    if greets {
+        cx.changed.notify_one();
+    }
     catch_up::compare(cx, from, known);
     cx.poll();
 }
--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -8,7 +8,7 @@
 use stoatjunction_core::entry::budget::Budget;
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::health::Outcome;
-use stoatjunction_core::entry::limit::Limits;
+use stoatjunction_core::entry::limit::{self, Limits};
 use stoatjunction_core::entry::pool::{Counts, Need, NodeKey, Pool, RunKey, Verdict};
 use stoatjunction_core::entry::queue::{CallId, Queue};
 use stoatjunction_core::entry::route::Routes;
@@ -97,6 +97,7 @@
     pub(crate) peers: IndexMap<IpAddr, Peer>,
     /// This host's data centre.
     dc: String,
+    pub(crate) started: Time,
     pub(crate) store_failed: Option<Time>,
     /// When the store last answered, by topic; none while it is not followed or does not answer.
     pub(crate) store_heard: [Option<Time>; 2],
@@ -114,6 +115,8 @@
     pub(crate) breaks: Vec<(Break, u8)>,
     pub(crate) parts: Vec<(u32, u64)>,
     pub(crate) changed: bool,
+    /// True when a host was met that may not know the others yet.
+    pub(crate) new_host: bool,
 }
 
 /// Everything that a controller needs.
@@ -130,18 +133,20 @@
 
 impl Context {
     pub(crate) fn new(settings: EntrySettings, names: Names) -> Context {
-        let board = Board {
+        let now = clock::now();
+        let mut board = Board {
             phase: Phase::Serving,
             routes: None,
             view: View::default(),
             has_list: false,
             desks: IndexMap::new(),
-            limits: Limits::new(settings.tolerance.planned(), clock::now()),
+            limits: Limits::new(settings.tolerance.planned(), now),
             budget: Budget::new(settings.budget),
             suspects: Suspects::default(),
             news: News::default(),
             peers: IndexMap::new(),
             dc: settings.dc.clone(),
+            started: now,
             store_failed: None,
             store_heard: [None; 2],
             drain: settings.drain,
@@ -149,6 +154,8 @@
             full_deadlines: IndexMap::new(),
             next_call: 0,
         };
+        let (heard, known) = board.reach(now);
+        board.limits.set_reach(heard, known, now);
         Context {
             settings,
             names,
@@ -296,11 +303,7 @@
 
     /// Number of hosts that are known, and of those heard of late, this one included.
     pub(crate) fn reach(&self) -> (usize, usize) {
-        let board = self.board.borrow();
-        let now = clock::now();
-        let heard = board.peers.values();
-        let heard = heard.filter(|p| !board.is_silent(p, now));
-        (heard.count() + 1, board.peers.len() + 1)
+        self.board.borrow().reach(clock::now())
     }
 }
 
@@ -365,12 +368,24 @@
         now.since(peer.heard) >= most
     }
 
+    /// Numbers of hosts that are heard and known, this one included, as far as one that has only
+    /// started may rely on them.
+    pub(crate) fn reach(&self, now: Time) -> (usize, usize) {
+        let heard = self.peers.values();
+        let heard = heard.filter(|p| !self.is_silent(p, now)).count() + 1;
+        limit::reach_of(now.since(self.started), heard, self.peers.len() + 1)
+    }
+
     /// Takes in that a host was heard, directly or by another's word.
     pub(crate) fn met(&mut self, ip: IpAddr, peer: Peer) {
         let boot = peer.boot;
         match self.peers.insert(ip, peer) {
-            None => log::info!("event=host_heard host={ip}"),
+            None => {
+                log::info!("event=host_heard host={ip}");
+                self.news.new_host = true;
+            }
             Some(before) if before.boot != boot => {
+                self.news.new_host = true;
                 self.limits.forget(before.boot);
                 for desk in self.desks.values_mut() {
                     desk.pool.forget_peer(before.boot);
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -22,6 +22,8 @@
 const TOLD_AT_FASTEST: f64 = 8.0;
 /// Time between beats when nothing changes.
 const SLOWEST: Duration = Duration::from_millis(250);
+/// Time after its start in which a host that hears nobody asks the seeds at the fastest.
+const ASKS_FAST: Span = Span::from_millis(3_000);
 /// Silence after which a host is no longer counted.
 const FORGET: Span = Span::from_millis(30_000);
 /// Largest datagram.
@@ -49,8 +51,12 @@
     tokio::task::spawn_local(hear(cx.clone(), socket.clone()));
     let mut last_full = clock::now();
     loop {
-        let _either = tokio::time::timeout(SLOWEST, cx.changed.notified()).await;
-        let full = clock::now().since(last_full) >= Span::from(SLOWEST);
+        let wait = if is_alone(&cx) { FASTEST } else { SLOWEST };
+        let _either = tokio::time::timeout(wait, cx.changed.notified()).await;
+        let greets = std::mem::take(&mut cx.board.borrow_mut().news.new_host);
+        let is_due = clock::now().since(last_full) >= Span::from(SLOWEST);
+        let full = is_due || greets || is_alone(&cx);
+        follow_reach(&cx);
         if full {
             last_full = clock::now();
             tend(&cx);
@@ -62,6 +68,13 @@
     }
 }
 
+/// True when no other host has been heard yet: the seeds are then asked at the fastest, for a short
+/// while.
+fn is_alone(cx: &Context) -> bool {
+    let board = cx.board.borrow();
+    board.peers.is_empty() && clock::now().since(board.started) < ASKS_FAST
+}
+
 /// Tells the others what this host does; returns how many were told.
 fn tell(cx: &Context, socket: &UdpSocket, full: bool) -> usize {
     let word = Word::Own(Box::new(beat::make(cx, full)));
@@ -114,22 +127,26 @@
     ips
 }
 
-/// Forgets hosts that are gone, and lets limits and pools follow those that are heard.
-fn tend(cx: &Context) {
+/// Lets limits follow the hosts that are heard.
+fn follow_reach(cx: &Context) {
     let now = clock::now();
     let mut board = cx.board.borrow_mut();
-    let board = &mut *board;
-    forget_gone(board, now);
-    board.limits.forget_silent(now);
-    let heard = board.peers.values();
-    let heard = heard.filter(|p| !board.is_silent(p, now)).count();
-    let known = board.peers.len() + 1;
+    let (heard, known) = board.reach(now);
     let before = board.limits.share();
-    board.limits.set_reach(heard + 1, known, now);
+    board.limits.set_reach(heard, known, now);
     let share = board.limits.share();
     if share != before {
-        log::info!("event=reach heard={} known={known} share={share:.3}", heard + 1);
+        log::info!("event=reach heard={heard} known={known} share={share:.3}");
     }
+}
+
+/// Forgets hosts that are gone, and lets pools follow those that are heard.
+fn tend(cx: &Context) {
+    let now = clock::now();
+    let mut board = cx.board.borrow_mut();
+    let board = &mut *board;
+    forget_gone(board, now);
+    board.limits.forget_silent(now);
     let far_apart = board.has_many_hosts();
     for desk in board.desks.values_mut() {
         desk.pool.forget_silent(now);
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -51,7 +51,7 @@
 
 /// Longest pauses after which a stream that may go on elsewhere does. Its answer is late by then, and
 /// callers bear about eight.
-const SILENT_PAUSES: u64 = 3;
+const SILENT_PAUSES: u64 = 4;
 /// Time after which a stream counts as silent where no longest pause is stated.
 const SILENT_UNSTATED: Span = Span::from_millis(1_500);
 
