Split the pool by what it does; far upstreams cost what they should; move streams only to a sure place

far_ms was written and never read, so that in large fleets far upstreams, whose loads are heard of four times a second, were taken for 6 ms (found by reading while splitting; test red first: far_upstreams_have_to_be_much_better_where_their_loads_are_heard_of_late).

--- /dev/null
+++ b/stoatjunction_core/src/entry/choice.rs
@@ -0,0 +1,182 @@
+//! The choice of an upstream for a call, and when a call goes, waits or is refused.
+//!
+//! Load answered: bursts that a pool cannot take whole. An upstream's own queue knows no ranks and
+//! keeps what can no longer be in time, so a call goes out only when a place is free, to the
+//! upstream with the earliest first event, and is refused at once when none can be in time.
+
+use super::need::Need;
+use super::node::Node;
+use super::pool::{NodeKey, Pool, RunKey, Verdict};
+use crate::hash;
+use crate::time::{Span, Time};
+
+/// Milliseconds that a full batch costs against an empty one.
+const CROWD_MS: f64 = 30.0;
+/// Milliseconds that a token costs in the choice, beyond its reading: it delays the neighbours.
+const NEIGHBOUR: f64 = 0.3;
+/// Milliseconds that a place of another host has to save.
+const AWAY_MS: f64 = 25.0;
+/// Milliseconds over which a host's choices are spread by chance, so that not all choose the same.
+const SPREAD_MS: f64 = 2.0;
+/// The same for places of other hosts, of which it hears late.
+const AWAY_SPREAD_MS: f64 = 20.0;
+/// Factor on forecasts of an upstream that started a moment ago.
+const COLD: f64 = 1.7;
+/// Time after which another host's word on its queue counts no more.
+const RIVAL_AGE: Span = Span::from_millis(400);
+/// Time between two draws; the others have heard of the first by then.
+const TURN: Span = Span::from_millis(30);
+/// Part of all places that each step of rank leaves free.
+const RESERVE: f64 = 0.008;
+
+impl Pool {
+    /// Milliseconds until the first event of a prompt of which `unread` tokens are to be read.
+    pub fn forecast(&self, node: &Node, unread: u32, now: Time) -> f64 {
+        let load = node.load(now);
+        let tokens = f64::from(load.unread) + f64::from(unread);
+        let cold = if now < node.cold_until { COLD } else { 1.0 };
+        self.wait_ms(node, now) + self.line.at(tokens) * self.factor(node) * cold
+    }
+
+    /// An upstream's factor. One of which nothing is known is taken for as good as the best, so
+    /// that it is tried.
+    fn factor(&self, node: &Node) -> f64 {
+        let own = node.factor.get();
+        if node.factor.is_known() {
+            own
+        } else {
+            own.min(self.best_factor)
+        }
+    }
+
+    /// True when another upstream than `key` and those in `tried` has a free place.
+    pub fn has_other(&self, key: NodeKey, tried: &[NodeKey], now: Time) -> bool {
+        let has_place = |n: &Node| n.running(now) < n.listed.slots;
+        self.usable(now)
+            .any(|(k, n)| k != key && !tried.contains(&k) && has_place(n))
+    }
+
+    /// Milliseconds until the first event of a run that has just begun.
+    pub fn forecast_of(&self, run: RunKey, now: Time) -> f64 {
+        let node = self.runs.get(run).and_then(|r| self.nodes.get(r.node));
+        node.map_or(0.0, |n| self.forecast(n, 0, now))
+    }
+
+    fn wait_ms(&self, node: &Node, now: Time) -> f64 {
+        let slots = node.listed.slots.max(1);
+        let over = (node.running(now) + 1).saturating_sub(slots);
+        f64::from(over) * self.run_ms * node.factor.get() / f64::from(slots)
+    }
+
+    /// Decides on a call. One that can no longer be in time becomes a late one: to come back would
+    /// gain it nothing, and it still gets a place when there is room to spare.
+    pub fn decide(&mut self, need: &mut Need, now: Time) -> Verdict {
+        let mut best: Option<(f64, f64, NodeKey, bool)> = None;
+        let mut open = 0;
+        self.seed = hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
+        for (key, node) in self.usable(now) {
+            if need.tried.contains(&key) {
+                continue;
+            }
+            open += 1;
+            let trial = node.health.is_on_trial();
+            if trial && (node.own.running > 0 || !need.idempotent) && self.nodes.len() > 1 {
+                continue;
+            }
+            let unread = self.parts.unread(&need.prompt, key);
+            let ms = self.forecast(node, unread, now);
+            let cost = ms + self.extra_cost(node, key, unread, now);
+            let has_place = node.has_place(now);
+            let better = best.is_none_or(|(c, _, _, p)| (!has_place, cost) < (!p, c));
+            if better {
+                best = Some((cost, ms, key, has_place));
+            }
+        }
+        let Some((_, ms, key, has_place)) = best else {
+            return self.without_upstream(need, open, now);
+        };
+        let first_event = now + Span::from_secs_f64(ms / 1e3);
+        if !need.late && first_event > need.in_time {
+            need.late = true;
+            need.wait_until = now + need.late_wait;
+        }
+        let is_own = self.nodes.get(key).is_some_and(Node::has_own_place);
+        let has_turn = || is_own || self.has_turn(need, now);
+        if has_place && self.has_spare(need, now) && has_turn() {
+            return Verdict::Place(key);
+        }
+        if now >= need.wait_until {
+            return Verdict::Refuse(self.backlog(now));
+        }
+        Verdict::Wait
+    }
+
+    fn without_upstream(&self, need: &Need, open: u32, now: Time) -> Verdict {
+        if open > 0 && now < need.wait_until {
+            return Verdict::Wait;
+        }
+        Verdict::Refuse(self.backlog(now))
+    }
+
+    fn extra_cost(&self, node: &Node, key: NodeKey, unread: u32, now: Time) -> f64 {
+        let slots = f64::from(node.listed.slots.max(1));
+        let crowd = CROWD_MS * f64::from(node.running(now)) / slots;
+        let is_far = node.listed.dc != self.dc;
+        let far = if is_far { self.far_ms } else { 0.0 };
+        let (away, spread) = match node.dealt {
+            Some(_) if !node.has_own_place() => (AWAY_MS, AWAY_SPREAD_MS),
+            _ => (0.0, SPREAD_MS),
+        };
+        let neighbours = self.line.slope() * f64::from(unread) * NEIGHBOUR;
+        let draw = hash::mix(self.seed ^ u64::from(key.0)) >> 40;
+        let draw = draw as f64 / (1_u64 << 24) as f64;
+        crowd + far + away + neighbours + spread * draw
+    }
+
+    /// True when the call's rank may take one of the free places: the last ones are kept for the
+    /// urgent.
+    fn has_spare(&self, need: &Need, now: Time) -> bool {
+        let places = f64::from(self.places(now));
+        let steps = f64::from(need.rank.1.min(3)) + if need.late { 2.0 } else { 0.0 };
+        f64::from(self.free(now)) > RESERVE * steps * places
+    }
+
+    /// Draws for the free places among the waiting calls of all hosts, the more urgent first, so
+    /// that places which become free at once are not taken by every host.
+    fn has_turn(&self, need: &Need, now: Time) -> bool {
+        let order = need.order();
+        let fresh = self.rivals.values();
+        let fresh = fresh.filter(|(_, at)| now.since(*at) < RIVAL_AGE);
+        let (mut ahead, mut same) = (0_u32, 0_u32);
+        for (counts, _) in fresh {
+            for (other, n) in counts {
+                match other.cmp(&order) {
+                    std::cmp::Ordering::Less => ahead += u32::from(*n),
+                    std::cmp::Ordering::Equal => same += u32::from(*n),
+                    std::cmp::Ordering::Greater => {}
+                }
+            }
+        }
+        if same == 0 && ahead == 0 && self.dealers < 2 {
+            return true;
+        }
+        let own = self.waiting.iter().find(|(o, _)| *o == order);
+        let own = own.map_or(1, |(_, n)| u32::from(*n).max(1));
+        // Besides those that wait, any host's next caller may find its own places full.
+        let own = own + self.dealers / 2;
+        let left = f64::from(self.room(now).saturating_sub(ahead));
+        let draw = hash::mix(need.salt ^ (now.0 / TURN.0)) >> 40;
+        let draw = draw as f64 / (1_u64 << 24) as f64;
+        draw * f64::from(same + own) < left
+    }
+
+    /// Time after which a call that is refused now may find room.
+    pub fn backlog(&self, now: Time) -> Span {
+        let over: f64 = self
+            .usable(now)
+            .map(|(_, n)| self.wait_ms(n, now))
+            .fold(f64::INFINITY, f64::min);
+        let ms = if over.is_finite() { over } else { self.run_ms };
+        Span::from_secs_f64((ms + self.run_ms) / 1e3)
+    }
+}
--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -4,9 +4,11 @@
 //! Hosts decide for themselves, each from its own runs and what the others last said of theirs.
 
 pub mod budget;
+mod choice;
 pub mod config;
 pub mod engine;
 pub mod health;
+mod hearsay;
 pub mod limit;
 pub mod need;
 pub mod node;
--- a/stoatjunction_core/tests/entry_many_hosts.rs
+++ b/stoatjunction_core/tests/entry_many_hosts.rs
@@ -188,5 +188,8 @@
     assert!(crowded * 100 <= sent * MOST_CROWDED, "{crowded} of {sent}");
     let all = sent + play.refused;
     let places = f64::min(1.0, 1.0 / load);
-    assert!(f64::from(sent) >= 0.85 * places * f64::from(all), "{sent} of {all}");
+    assert!(
+        f64::from(sent) >= 0.85 * places * f64::from(all),
+        "{sent} of {all}"
+    );
 }
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -56,6 +56,23 @@
     assert_eq!(pool.node(key).unwrap().listed.dc, "here");
 }
 
+#[test]
+fn far_upstreams_have_to_be_much_better_where_their_loads_are_heard_of_late() {
+    let busy = Load {
+        running: 6,
+        unread: 1_000,
+    };
+    let mut pool = pool(2, 8, 1);
+    pool.heard(9, vec![(NodeKey(0), busy)], START);
+    let near_by = pool.decide(&mut need(2, START, 1), START);
+
+    pool.set_far_apart(true);
+    let far_apart = pool.decide(&mut need(2, START, 1), START);
+
+    assert_eq!(near_by, Verdict::Place(NodeKey(1)));
+    assert_eq!(far_apart, Verdict::Place(NodeKey(0)));
+}
+
 #[test]
 fn a_draining_upstream_gets_nothing_even_when_it_is_the_last() {
     let mut pool = pool(1, 8, 1);
@@ -172,6 +189,27 @@
     assert_eq!(pool.free(ms(1_600)), 2);
 }
 
+#[test]
+fn short_runs_of_others_count_only_as_long_as_they_last() {
+    let mut pool = pool(1, 2, 1);
+    for n in 0..20 {
+        let begun = ms(n * 100);
+        let run = pool.started(NodeKey(0), &[], begun);
+        pool.first(run, begun + Span::from_millis(30));
+        pool.ended(run, Some(Outcome::Good), begun + Span::from_millis(30));
+    }
+    let load = Load {
+        running: 2,
+        unread: 0,
+    };
+    pool.heard(9, vec![(NodeKey(0), load)], ms(3_000));
+    assert_eq!(pool.free(ms(3_010)), 0);
+
+    pool.forget_silent(ms(3_200));
+
+    assert_eq!(pool.free(ms(3_200)), 2);
+}
+
 /// A simulated fleet of hosts, each with a queue, before upstreams that all have just come back.
 struct Fleet {
     hosts: Vec<(Pool, Queue)>,
--- a/stoatjunction_entry/src/peers.rs
+++ b/stoatjunction_entry/src/peers.rs
@@ -149,7 +149,6 @@
     board.limits.forget_silent(now);
     let far_apart = board.has_many_hosts();
     for desk in board.desks.values_mut() {
-        desk.pool.forget_silent(now);
         desk.pool.set_far_apart(far_apart);
     }
     deal(cx, board, now);
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use stoatjunction_core::entry::config::Repeat;
 use stoatjunction_core::entry::health::Outcome;
-use stoatjunction_core::entry::pool::Need;
+use stoatjunction_core::entry::pool::{Need, NodeKey};
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::mpsc;
 
@@ -44,7 +44,8 @@
 enum PartEnd {
     Whole,
     Broken,
-    Silent,
+    /// Silent for long; another place is taken.
+    Silent(Placed),
     CallerGone,
     Late,
 }
@@ -69,6 +70,7 @@
         let mut sent = 1;
         loop {
             let key = placed.key;
+            let mut next = None;
             let may_move = self.repeat == Repeat::Resumable && sent < self.attempts;
             match self.pass(&mut answer, &placed, may_move).await {
                 PartEnd::Whole => {
@@ -92,15 +94,16 @@
                     placed.end(Outcome::Broken);
                     self.log_end("cut_in_stream", &target);
                 }
-                PartEnd::Silent => {
+                PartEnd::Silent(other) => {
+                    next = Some(other);
                     placed.end(Outcome::Silent);
                     self.log_end("silent_in_stream", &target);
                 }
             }
             drop(answer);
             self.need.tried.push(key);
-            match self.resume(&mut sent).await {
-                Some(next) => (answer, placed, target) = next,
+            match self.resume(&mut sent, next).await {
+                Some(resumed) => (answer, placed, target) = resumed,
                 None => return false,
             }
         }
@@ -122,7 +125,7 @@
     }
 
     /// Passes on what one upstream sends. A stream that `may_move` to another upstream ends when
-    /// this one falls silent and another has a place.
+    /// this one falls silent and a place on another could be taken.
     async fn pass(&mut self, answer: &mut Answer, placed: &Placed, may_move: bool) -> PartEnd {
         let limit = tokio::time::sleep_until(clock::instant(self.until));
         let patience = self.patience();
@@ -136,11 +139,10 @@
                 frame = answer.body.frame() => frame,
                 () = &mut limit => return PartEnd::Late,
                 () = &mut silence, if may_move => {
-                    let is_silent = clock::now() >= heard + patience;
-                    if is_silent && placed.has_other(&self.need.tried) {
-                        return PartEnd::Silent;
-                    }
-                    if is_silent {
+                    if clock::now() >= heard + patience {
+                        if let Some(other) = self.other_place(placed.key).await {
+                            return PartEnd::Silent(other);
+                        }
                         heard = clock::now();
                     }
                     silence.as_mut().reset(clock::instant(heard + patience));
@@ -163,11 +165,27 @@
     }
 
     fn patience(&self) -> Span {
-        self.pause.map_or(SILENT_UNSTATED, |p| Span(p.0 * SILENT_PAUSES))
+        self.pause
+            .map_or(SILENT_UNSTATED, |p| Span(p.0 * SILENT_PAUSES))
+    }
+
+    /// A place on another upstream than `key`, when one is free at once and the budget allows it.
+    async fn other_place(&self, key: NodeKey) -> Option<Placed> {
+        let mut need = Need {
+            late: true,
+            wait_until: clock::now(),
+            ..self.need.clone()
+        };
+        need.tried.push(key);
+        self.allowed_place(need).await
     }
 
-    /// Lets another upstream go on with the stream.
-    async fn resume(&mut self, sent: &mut u32) -> Option<(Answer, Placed, Target)> {
+    /// Lets another upstream go on with the stream, first the one on which a place is taken.
+    async fn resume(
+        &mut self,
+        sent: &mut u32,
+        mut taken: Option<Placed>,
+    ) -> Option<(Answer, Placed, Target)> {
         if self.repeat != Repeat::Resumable {
             return None;
         }
@@ -178,21 +196,13 @@
         }
         let mut unreachable = 0;
         while *sent < self.attempts && unreachable < MOST_UNREACHABLE {
-            let now = clock::now();
             self.need.late = true;
-            self.need.wait_until = (now + LATE_WAIT).min(self.until);
-            let placed = self.place().await?;
+            self.need.wait_until = (clock::now() + LATE_WAIT).min(self.until);
+            let placed = match taken.take() {
+                Some(placed) => placed,
+                None => self.allowed_place(self.need.clone()).await?,
+            };
             let target = placed.target()?;
-            let (_, known) = self.cx.reach();
-            let allowed = self
-                .cx
-                .board
-                .borrow_mut()
-                .budget
-                .repeat(&self.service, known, now);
-            if !allowed {
-                return None;
-            }
             let key = placed.key;
             let left = clock::instant(self.until);
             let terms = Terms {
@@ -230,11 +240,18 @@
         None
     }
 
-    async fn place(&self) -> Option<Placed> {
-        let wait = self.cx.place(&self.service, self.need.clone());
-        tokio::select! {
-            placed = wait => placed.ok(),
-            () = self.tx.closed() => None,
-        }
+    /// A place for a further sending, when the budget allows one.
+    async fn allowed_place(&self, need: Need) -> Option<Placed> {
+        let wait = self.cx.place(&self.service, need);
+        let placed = tokio::select! {
+            placed = wait => placed.ok()?,
+            () = self.tx.closed() => return None,
+        };
+        let (_, known) = self.cx.reach();
+        let mut board = self.cx.board.borrow_mut();
+        let now = clock::now();
+        let allowed = board.budget.repeat(&self.service, known, now);
+        drop(board);
+        allowed.then_some(placed)
     }
 }
