--- a/stoatjunction_entry/src/board.rs
+++ b/stoatjunction_entry/src/board.rs
@@ -7,22 +7,21 @@
 use indexmap::IndexMap;
 use stoatjunction_core::entry::budget::Budget;
 use stoatjunction_core::entry::config::Configuration;
-use stoatjunction_core::entry::health::Outcome;
 use stoatjunction_core::entry::limit::{self, Limits};
-use stoatjunction_core::entry::pool::{Counts, Need, NodeKey, Pool, RunKey, Verdict};
-use stoatjunction_core::entry::queue::{CallId, Queue};
+use stoatjunction_core::entry::pool::{Counts, Pool};
+use stoatjunction_core::entry::queue::CallId;
 use stoatjunction_core::entry::route::Routes;
 use stoatjunction_core::entry::suspects::{Break, Suspects};
 use stoatjunction_core::entry::view::View;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 use crate::beat::NodeLoad;
 use crate::clock;
 use crate::connections::{Connection, Connections};
-use crate::exchange::Target;
 use crate::names::Names;
+use crate::place::Desk;
 use crate::settings::EntrySettings;
 
 /// How far the daemon has come.
@@ -37,24 +36,6 @@
     Closing,
 }
 
-/// A decision that a waiting call gets.
-type Decided = Result<(NodeKey, RunKey), Span>;
-
-/// What becomes of a call that asks for a place.
-enum Asked {
-    Placed(NodeKey, RunKey),
-    Refused(Span),
-    Waits(CallId, oneshot::Receiver<Decided>),
-}
-
-/// A service's pool with its queue.
-#[derive(Debug)]
-pub(crate) struct Desk {
-    pub(crate) pool: Pool,
-    pub(crate) queue: Queue,
-    waiters: IndexMap<CallId, oneshot::Sender<Decided>>,
-}
-
 /// What another host said last.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
@@ -106,7 +87,7 @@
     /// True while another host is asked for its view.
     pub(crate) asking: bool,
     full_deadlines: IndexMap<String, Span>,
-    next_call: CallId,
+    pub(crate) next_call: CallId,
 }
 
 /// What the other hosts have not been told yet.
@@ -230,59 +211,6 @@
         }
     }
 
-    /// Waits for a place for a call of `service` and takes it.
-    ///
-    /// # Errors
-    ///
-    /// The time after which there may be room, when the call is refused.
-    pub(crate) async fn place(self: &Rc<Self>, service: &str, need: Need) -> Result<Placed, Span> {
-        let (id, rx) = match self.ask(service, need) {
-            Asked::Placed(key, run) => return Ok(Placed::new(self, service, key, run)),
-            Asked::Refused(retry) => return Err(retry),
-            Asked::Waits(id, rx) => (id, rx),
-        };
-        let _leave = Leave {
-            cx: self,
-            service,
-            id,
-        };
-        match rx.await {
-            Ok(Ok((key, run))) => Ok(Placed::new(self, service, key, run)),
-            Ok(Err(retry)) => Err(retry),
-            Err(_) => Err(NO_SERVICE),
-        }
-    }
-
-    fn ask(&self, service: &str, mut need: Need) -> Asked {
-        let now = clock::now();
-        let mut board = self.board.borrow_mut();
-        let id = board.next_call;
-        board.next_call += 1;
-        let Some(desk) = board.desks.get_mut(service) else {
-            return Asked::Refused(NO_SERVICE);
-        };
-        desk.pool.asked(now);
-        if !desk.queue.is_ahead(&need) {
-            let verdict = desk.pool.decide(&mut need, now);
-            // A call that turned late meanwhile may have others ahead of it now.
-            let overtaken = need.late && desk.queue.is_ahead(&need);
-            match verdict {
-                _ if overtaken => {}
-                Verdict::Wait => {}
-                Verdict::Refuse(retry) => return Asked::Refused(retry),
-                Verdict::Place(key) => {
-                    let run = desk.pool.started(key, &need.prompt, now);
-                    return Asked::Placed(key, run);
-                }
-            }
-        }
-        let (tx, rx) = oneshot::channel();
-        desk.queue.push(id, need);
-        desk.waiters.insert(id, tx);
-        self.changed.notify_one();
-        Asked::Waits(id, rx)
-    }
-
     /// Keeps a connection for further requests, within this host's part of what an upstream accepts.
     pub(crate) fn keep(
         &self,
@@ -308,12 +236,8 @@
     }
 }
 
-/// Forecasts of the first event after which, beyond the aim, an upstream counts as silent.
-const SILENT_FORECASTS: f64 = 4.0;
 /// One in so many of the connections that an upstream accepts may be idle.
 const KEPT_PART: usize = 4;
-/// Advice to callers of a service that has no pool.
-const NO_SERVICE: Span = Span::from_millis(1_000);
 /// Silence after which another host counts as out of reach.
 const PEER_SILENT: Span = Span::from_millis(700);
 /// The same for a host of which only relays tell.
@@ -338,24 +262,6 @@
     }
 }
 
-/// Takes a call out of its queue when its caller leaves.
-struct Leave<'a> {
-    cx: &'a Context,
-    service: &'a str,
-    id: CallId,
-}
-
-impl Drop for Leave<'_> {
-    fn drop(&mut self) {
-        let mut board = self.cx.board.borrow_mut();
-        if let Some(desk) = board.desks.get_mut(self.service)
-            && desk.waiters.swap_remove(&self.id).is_some()
-        {
-            desk.queue.remove(self.id);
-        }
-    }
-}
-
 impl Board {
     /// True when hosts are so many that other data centres are told by relays only.
     pub(crate) fn has_many_hosts(&self) -> bool {
@@ -402,11 +308,10 @@
         };
         let services = &routes.cfg().services;
         for name in services.keys() {
-            let desk = self.desks.entry(name.clone()).or_insert_with(|| Desk {
-                pool: Pool::new(dc, seed),
-                queue: Queue::default(),
-                waiters: IndexMap::new(),
-            });
+            let desk = self
+                .desks
+                .entry(name.clone())
+                .or_insert_with(|| Desk::new(Pool::new(dc, seed)));
             let listed = self.view.listed().filter(|l| l.service == *name);
             desk.pool.set_nodes(listed, now);
         }
@@ -424,118 +329,3 @@
 
 /// Time by which a deadline has to be short of the longest for its caller to count as returned.
 const RETURNED: Span = Span::from_millis(40);
-
-impl Desk {
-    fn settle(&mut self, now: Time) {
-        while let Some((id, need, verdict)) = self.queue.next(&mut self.pool, now) {
-            let decided = match verdict {
-                Verdict::Place(key) => {
-                    let run = self.pool.started(key, &need.prompt, now);
-                    Ok((key, run))
-                }
-                Verdict::Refuse(retry) => Err(retry),
-                Verdict::Wait => continue,
-            };
-            let waiter = self.waiters.swap_remove(&id);
-            let unsent = waiter.map_or(Some(decided), |tx| tx.send(decided).err());
-            if let Some(Ok((_, run))) = unsent {
-                self.pool.ended(run, None, now);
-            }
-        }
-    }
-}
-
-/// A place on an upstream. Dropping it frees the place.
-#[derive(Debug)]
-pub(crate) struct Placed {
-    cx: Rc<Context>,
-    service: String,
-    /// The upstream.
-    pub(crate) key: NodeKey,
-    run: RunKey,
-    outcome: Option<Outcome>,
-}
-
-impl Placed {
-    fn new(cx: &Rc<Context>, service: &str, key: NodeKey, run: RunKey) -> Placed {
-        cx.board.borrow_mut().news.changed = true;
-        cx.changed.notify_one();
-        Placed {
-            cx: cx.clone(),
-            service: service.to_owned(),
-            key,
-            run,
-            outcome: None,
-        }
-    }
-
-    /// The service.
-    pub(crate) fn service(&self) -> &str {
-        &self.service
-    }
-
-    /// Where the call goes, while the upstream is listed.
-    pub(crate) fn target(&self) -> Option<Target> {
-        let board = self.cx.board.borrow();
-        let node = board.desks.get(&self.service)?.pool.node(self.key)?;
-        Some(Target {
-            id: node.listed.id.clone(),
-            addr: node.listed.addr.clone(),
-        })
-    }
-
-    /// Records the first event, or the head of a plain answer.
-    pub(crate) fn first(&self) {
-        self.with_pool(|pool| pool.first(self.run, clock::now()));
-    }
-
-    /// Time after which the upstream counts as silent when it has not begun to answer a call with
-    /// this aim.
-    pub(crate) fn silence(&self, aim: Span) -> Span {
-        let board = self.cx.board.borrow();
-        let desk = board.desks.get(&self.service);
-        let forecast = desk.map_or(0.0, |d| d.pool.forecast_of(self.run, clock::now()));
-        aim + Span::from_secs_f64(SILENT_FORECASTS * forecast / 1e3)
-    }
-
-    /// True when an upstream that was not `tried` has a free place.
-    pub(crate) fn has_other(&self, tried: &[NodeKey]) -> bool {
-        let board = self.cx.board.borrow();
-        let desk = board.desks.get(&self.service);
-        desk.is_some_and(|d| d.pool.has_other(self.key, tried, clock::now()))
-    }
-
-    /// Records what the upstream said of its load.
-    pub(crate) fn reported(&self, running: u32, waiting: u32) {
-        self.with_pool(|pool| pool.reported(self.key, running, waiting, clock::now()));
-    }
-
-    /// Records an outcome before the end of the run.
-    pub(crate) fn observe(&self, outcome: Outcome) {
-        self.with_pool(|pool| pool.observe(self.key, outcome, clock::now()));
-    }
-
-    /// Ends the run with an outcome.
-    pub(crate) fn end(mut self, outcome: Outcome) {
-        self.outcome = Some(outcome);
-    }
-
-    fn with_pool<F>(&self, f: F)
-    where
-        F: FnOnce(&mut Pool),
-    {
-        let mut board = self.cx.board.borrow_mut();
-        if let Some(desk) = board.desks.get_mut(&self.service) {
-            f(&mut desk.pool);
-        }
-    }
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        self.with_pool(|pool| pool.ended(self.run, self.outcome, clock::now()));
-        self.cx.board.borrow_mut().news.changed = true;
-        self.cx.changed.notify_one();
-        self.cx.poll();
-    }
-}
--- a/stoatjunction_entry/src/exchange.rs
+++ b/stoatjunction_entry/src/exchange.rs
@@ -11,10 +11,11 @@
 use stoatjunction_core::entry::health::Outcome;
 use stoatjunction_core::time::{Span, Time};
 
-use crate::board::{Context, Placed};
+use crate::board::Context;
 use crate::clock;
 use crate::connections::{self, Connection};
 use crate::names::Names;
+use crate::place::Placed;
 
 /// What is sent, the same at every attempt.
 #[derive(Clone, Debug)]
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -13,10 +13,11 @@
 use stoatjunction_core::entry::suspects::Break;
 use stoatjunction_core::time::{Span, Time};
 
-use crate::board::{Context, InProgress, Placed};
+use crate::board::{Context, InProgress};
 use crate::call::{Call, LATE_WAIT, OF_CONNECTION, let_in};
 use crate::clock;
 use crate::exchange::{self, Answer, NoAnswer, Target, Terms};
+use crate::place::Placed;
 use crate::pump::Body;
 use crate::refusal::Refusal;
 use crate::stream::{MOST_UNREACHABLE, Stream};
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod mirror;
 pub mod names;
 mod peers;
+mod place;
 mod pump;
 mod refusal;
 mod relay;
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -11,11 +11,12 @@
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::mpsc;
 
-use crate::board::{Context, InProgress, Placed};
+use crate::board::{Context, InProgress};
 use crate::call::LATE_WAIT;
 use crate::clock;
 use crate::events::Events;
 use crate::exchange::{self, Answer, Message, NoAnswer, Target, Terms};
+use crate::place::Placed;
 use crate::pump::BrokenOff;
 
 /// Upstreams that one request may find unreachable.
