Leave more places to the urgent in large fleets; a run's first observation replaces the hint

The mean time of runs began at its hint with the weight of one run: 100 to 170 ms learned for calls of 60, by the printed turns; now the first observation replaces it.

--- a/stoatjunction_core/src/entry/choice.rs
+++ b/stoatjunction_core/src/entry/choice.rs
@@ -10,6 +10,10 @@
 use crate::hash;
 use crate::time::{Span, Time};
 
+/// Milliseconds that a run in another data centre has to save, for the bytes between them.
+const FAR_MS: f64 = 6.0;
+/// The same while hosts of other data centres tell of their loads only now and then.
+const FAR_APART_MS: f64 = 60.0;
 /// Milliseconds that a full batch costs against an empty one.
 const CROWD_MS: f64 = 30.0;
 /// Milliseconds that a token costs in the choice, beyond its reading: it delays the neighbours.
@@ -26,8 +30,12 @@
 const RIVAL_AGE: Span = Span::from_millis(400);
 /// Time between two draws; the others have heard of the first by then.
 const TURN: Span = Span::from_millis(30);
+/// Part of all places that late calls leave free.
+const LATE_RESERVE: f64 = 0.016;
 /// Part of all places that each step of rank leaves free.
 const RESERVE: f64 = 0.008;
+/// The same in large fleets, where an urgent call finds its own host's places full more often.
+const RESERVE_APART: f64 = 0.03;
 
 impl Pool {
     /// Milliseconds until the first event of a prompt of which `unread` tokens are to be read.
@@ -122,7 +130,11 @@
         let slots = f64::from(node.listed.slots.max(1));
         let crowd = CROWD_MS * f64::from(node.running(now)) / slots;
         let is_far = node.listed.dc != self.dc;
-        let far = if is_far { self.far_ms } else { 0.0 };
+        let far = match is_far {
+            false => 0.0,
+            true if self.far_apart => FAR_APART_MS,
+            true => FAR_MS,
+        };
         let (away, spread) = match node.dealt {
             Some(_) if !node.has_own_place() => (AWAY_MS, AWAY_SPREAD_MS),
             _ => (0.0, SPREAD_MS),
@@ -137,8 +149,14 @@
     /// urgent.
     fn has_spare(&self, need: &Need, now: Time) -> bool {
         let places = f64::from(self.places(now));
-        let steps = f64::from(need.rank.1.min(3)) + if need.late { 2.0 } else { 0.0 };
-        f64::from(self.free(now)) > RESERVE * steps * places
+        let late = if need.late { LATE_RESERVE } else { 0.0 };
+        let step = if self.far_apart {
+            RESERVE_APART
+        } else {
+            RESERVE
+        };
+        let kept = step * f64::from(need.rank.1.min(3)) + late;
+        f64::from(self.free(now)) > kept * places
     }
 
     /// Draws for the free places among the waiting calls of all hosts, the more urgent first, so
--- a/stoatjunction_core/src/entry/hearsay.rs
+++ b/stoatjunction_core/src/entry/hearsay.rs
@@ -1,7 +1,7 @@
 //! What other hosts say of a pool: what they run and what waits there, and which places are whose.
 
 use super::node::{Load, Node};
-use super::pool::{Counts, FAR_MS, NodeKey, Pool};
+use super::pool::{Counts, NodeKey, Pool};
 use super::share::{self, Member, Offer};
 use crate::time::{Span, Time};
 
@@ -11,8 +11,6 @@
 const PEER_AGE_RUNS: f64 = 2.0;
 /// Time for which it counts at least.
 const LEAST_PEER_AGE: Span = Span::from_millis(40);
-/// The same while hosts of other data centres tell of their loads only now and then.
-const FAR_APART_MS: f64 = 60.0;
 /// Places for each host that is known without which dealing them out does not pay.
 const LEAST_PLACES: f64 = 3.0;
 
@@ -152,7 +150,7 @@
     /// Says whether hosts of other data centres tell of their loads only now and then. Upstreams
     /// there are then used only when those nearby are much worse.
     pub fn set_far_apart(&mut self, far_apart: bool) {
-        self.far_ms = if far_apart { FAR_APART_MS } else { FAR_MS };
+        self.far_apart = far_apart;
     }
 
     /// Takes in how much slower than the pool another host found an upstream.
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -14,8 +14,6 @@
 use crate::arena::{Arena, Key};
 use crate::time::{Span, Time};
 
-/// Milliseconds that a run in another data centre has to save, for the bytes between them.
-pub(super) const FAR_MS: f64 = 6.0;
 /// Time over which the demand of callers is counted.
 const DEMAND_MEMORY: Span = Span::from_millis(3_000);
 /// Mean time of a run before anything is learned, in milliseconds.
@@ -80,7 +78,8 @@
     pub(super) by_id: IndexMap<String, NodeKey>,
     pub(super) by_number: IndexMap<u64, NodeKey>,
     pub(super) peers: IndexMap<u64, (Vec<(NodeKey, Load)>, Time)>,
-    pub(super) far_ms: f64,
+    /// True while hosts of other data centres tell of their loads only now and then.
+    pub(super) far_apart: bool,
     pub(super) runs: Arena<RunKey, Run>,
     pub(super) parts: Parts,
     pub(super) line: Line,
@@ -108,7 +107,7 @@
             by_id: IndexMap::new(),
             by_number: IndexMap::new(),
             peers: IndexMap::new(),
-            far_ms: FAR_MS,
+            far_apart: false,
             runs: Arena::default(),
             parts: Parts::default(),
             line: Line::default(),
@@ -279,7 +278,7 @@
         if outcome == Some(Outcome::Good) && r.first {
             let ms = now.since(r.begun).as_secs_f64() * 1e3 / node.factor.get();
             self.runs_seen = self.runs_seen.saturating_add(1);
-            let weight = RUN_WEIGHT.max(1.0 / (f64::from(self.runs_seen) + 1.0));
+            let weight = RUN_WEIGHT.max(1.0 / f64::from(self.runs_seen));
             self.run_ms += (ms - self.run_ms) * weight;
         }
         if let Some(outcome) = outcome {
--- a/stoatjunction_core/tests/entry_many_hosts.rs
+++ b/stoatjunction_core/tests/entry_many_hosts.rs
@@ -110,7 +110,9 @@
                 silent: p != h && !self.hears(h, p),
             };
             let members: Vec<Member> = (0..self.service.hosts).map(member).collect();
-            let silent = (0..self.service.hosts).filter(|p| *p != h && !self.hears(h, *p)).count();
+            let silent = (0..self.service.hosts)
+                .filter(|p| *p != h && !self.hears(h, *p))
+                .count();
             let hosts = Hosts {
                 dc: "here".to_owned(),
                 known: self.service.hosts as u32,
@@ -160,7 +162,9 @@
             self.sent += 1;
             self.crowded += u32::from(*place >= SLOTS);
             *place += 1;
-            let length = self.rng.u64(self.service.run_ms / 2..self.service.run_ms * 3 / 2);
+            let length = self
+                .rng
+                .u64(self.service.run_ms / 2..self.service.run_ms * 3 / 2);
             let end = now + Span::from_millis(length);
             self.ends.push(Reverse((end, h, node, self.runs.len())));
             self.runs.push(run);
