--- a/stoatjunction_core/tests/entry_limits.rs
+++ b/stoatjunction_core/tests/entry_limits.rs
@@ -226,33 +226,52 @@
 /// `hosts`, which tell each other every `tell_every` milliseconds, each at its own moment. Returns
 /// the most that was admitted in any eight seconds.
 fn most_in_a_window(hosts: usize, tell_every: u64, times: f64, leeway: Leeway) -> u64 {
-    let mut fleet: Vec<Limits> = Vec::new();
-    for _ in 0..hosts {
-        let mut limits = Limits::new(leeway, START);
-        limits.set(ORG, BIG_RATE, BIG_BURST, START);
-        limits.set_reach(hosts, hosts, START);
-        fleet.push(limits);
-    }
-    tell_all(&mut fleet, START);
+    let mut fleet = fleet(hosts, leeway);
     let mut rng = fastrand::Rng::with_seed(7);
     let mut admitted = Vec::new();
     for ms in 0..30_000_u64 {
         let asked = if ms < 18_000 { 0.7 } else { times };
-        let requests = asked * BIG_RATE as f64 / 1e3 / REQUEST as f64;
-        let mut sum = 0;
-        for _ in 0..(requests + rng.f64()) as u64 {
-            let host = rng.usize(0..hosts);
-            if fleet[host].take(ORG, REQUEST, at(ms)).is_ok() {
-                sum += REQUEST;
-            }
-        }
-        admitted.push(sum);
+        let (taken, _) = press(&mut fleet, &mut rng, asked, at(ms));
+        admitted.push(taken * REQUEST);
         for teller in 0..hosts {
             if (ms + teller as u64 * 37).is_multiple_of(tell_every) {
                 tell(&mut fleet, teller, at(ms));
             }
         }
     }
+    most_in_eight_seconds(&admitted)
+}
+
+/// Hosts that have heard each other.
+fn fleet(hosts: usize, leeway: Leeway) -> Vec<Limits> {
+    let mut fleet: Vec<Limits> = Vec::new();
+    for _ in 0..hosts {
+        let mut limits = Limits::new(leeway, START);
+        limits.set(ORG, BIG_RATE, BIG_BURST, START);
+        limits.set_reach(hosts, hosts, START);
+        fleet.push(limits);
+    }
+    tell_all(&mut fleet, START);
+    fleet
+}
+
+/// Requests of one millisecond at hosts drawn by chance, `times` the limit in all. Returns how many
+/// were taken and how many refused.
+fn press(fleet: &mut [Limits], rng: &mut fastrand::Rng, times: f64, now: Time) -> (u64, u64) {
+    let requests = times * BIG_RATE as f64 / 1e3 / REQUEST as f64;
+    let (mut taken, mut refused) = (0, 0);
+    for _ in 0..(requests + rng.f64()) as u64 {
+        let host = rng.usize(0..fleet.len());
+        match fleet[host].take(ORG, REQUEST, now) {
+            Ok(_) => taken += 1,
+            Err(_) => refused += 1,
+        }
+    }
+    (taken, refused)
+}
+
+/// The most of any eight seconds, from what each millisecond admitted.
+fn most_in_eight_seconds(admitted: &[u64]) -> u64 {
     let windows = admitted.windows(8_000);
     windows.map(|w| w.iter().sum()).max().unwrap()
 }
@@ -303,28 +322,14 @@
 /// hosts are cut off each by itself, the others still hear each other. All notice it `noticed`
 /// milliseconds later. Returns the most that was admitted in any eight seconds.
 fn most_around_a_cut(hosts: usize, alone: usize, noticed: u64) -> u64 {
-    let mut fleet: Vec<Limits> = Vec::new();
-    for _ in 0..hosts {
-        let mut limits = Limits::new(TOLERANCE.planned(), START);
-        limits.set(ORG, BIG_RATE, BIG_BURST, START);
-        limits.set_reach(hosts, hosts, START);
-        fleet.push(limits);
-    }
-    tell_all(&mut fleet, START);
+    let mut fleet = fleet(hosts, TOLERANCE.planned());
     let mut rng = fastrand::Rng::with_seed(11);
     let mut admitted = Vec::new();
     let cut_at = 16_000;
     for ms in 0..28_000_u64 {
         let asked = if ms < 15_000 { 0.6 } else { 6.0 };
-        let requests = asked * BIG_RATE as f64 / 1e3 / REQUEST as f64;
-        let mut sum = 0;
-        for _ in 0..(requests + rng.f64()) as u64 {
-            let host = rng.usize(0..hosts);
-            if fleet[host].take(ORG, REQUEST, at(ms)).is_ok() {
-                sum += REQUEST;
-            }
-        }
-        admitted.push(sum);
+        let (taken, _) = press(&mut fleet, &mut rng, asked, at(ms));
+        admitted.push(taken * REQUEST);
         let joined = if ms < cut_at { hosts } else { hosts - alone };
         for teller in 0..joined {
             if (ms + teller as u64 * 37).is_multiple_of(250) {
@@ -338,8 +343,7 @@
             }
         }
     }
-    let windows = admitted.windows(8_000);
-    windows.map(|w| w.iter().sum()).max().unwrap()
+    most_in_eight_seconds(&admitted)
 }
 
 #[parameterized(
@@ -395,15 +399,8 @@
             }
         }
         let asked = if ms < pressed_at { 0.6 } else { times };
-        let requests = asked * BIG_RATE as f64 / 1e3 / REQUEST as f64;
-        let mut sum = 0;
-        for _ in 0..(requests + rng.f64()) as u64 {
-            let host = rng.usize(0..hosts);
-            if fleet[host].take(ORG, REQUEST, at(ms)).is_ok() {
-                sum += REQUEST;
-            }
-        }
-        admitted.push(sum);
+        let (taken, _) = press(&mut fleet, &mut rng, asked, at(ms));
+        admitted.push(taken * REQUEST);
         for teller in 0..hosts {
             if (ms + teller as u64 * 37).is_multiple_of(250) {
                 let starts = ms >= killed_at && age < 250;
@@ -414,21 +411,13 @@
             }
         }
     }
-    let windows = admitted.windows(8_000);
-    windows.map(|w| w.iter().sum()).max().unwrap()
+    most_in_eight_seconds(&admitted)
 }
 
 /// Load of a cut that heals: callers ask for seven tenths of the limit all the while. Returns how many
 /// of a hundred requests were refused in the two seconds after the hosts hear each other again.
 fn refused_after_a_cut(hosts: usize, apart: usize) -> u64 {
-    let mut fleet: Vec<Limits> = Vec::new();
-    for _ in 0..hosts {
-        let mut limits = Limits::new(TOLERANCE.planned(), START);
-        limits.set(ORG, BIG_RATE, BIG_BURST, START);
-        limits.set_reach(hosts, hosts, START);
-        fleet.push(limits);
-    }
-    tell_all(&mut fleet, START);
+    let mut fleet = fleet(hosts, TOLERANCE.planned());
     let mut rng = fastrand::Rng::with_seed(2);
     let (mut asked, mut refused) = (0, 0);
     let (cut_at, heals_at) = (16_000, 21_500);
@@ -441,14 +430,10 @@
                 host.set_reach(heard, hosts, at(ms));
             }
         }
-        let requests = 0.7 * BIG_RATE as f64 / 1e3 / REQUEST as f64;
-        for _ in 0..(requests + rng.f64()) as u64 {
-            let host = rng.usize(0..hosts);
-            let is_refused = fleet[host].take(ORG, REQUEST, at(ms)).is_err();
-            if ms >= heals_at {
-                asked += 1;
-                refused += u64::from(is_refused);
-            }
+        let (taken, not_taken) = press(&mut fleet, &mut rng, 0.7, at(ms));
+        if ms >= heals_at {
+            asked += taken + not_taken;
+            refused += not_taken;
         }
         for teller in 0..hosts {
             if (ms + teller as u64 * 37).is_multiple_of(20) {
@@ -494,7 +479,7 @@
     young_among_others = { 500, 9, 10, (9, 10) },
     settled = { 1_000, 9, 10, (9, 10) },
 )]
-fn a_young_host_takes_one_share(age: u64, heard: usize, known: usize, expected: (usize, usize)) {
+fn a_host_that_hears_nobody_yet_counts_on_others(age: u64, heard: usize, known: usize, expected: (usize, usize)) {
     let reach = reach_of(Span::from_millis(age), heard, known);
 
     assert_eq!(reach, expected);
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -7,6 +7,7 @@
 use stoatjunction_core::entry::queue::Queue;
 use stoatjunction_core::entry::view::Listed;
 use stoatjunction_core::time::{Span, Time};
+use yare::parameterized;
 
 const START: Time = Time(60_000_000);
 const AIM: Span = Span::from_millis(400);
@@ -73,6 +74,38 @@
     assert_eq!(far_apart, Verdict::Place(NodeKey(0)));
 }
 
+#[parameterized(
+    urgent_in_a_large_fleet = { true, 0, true },
+    less_urgent_in_a_large_fleet = { true, 2, false },
+    less_urgent_among_few = { false, 2, true },
+)]
+fn the_last_place_is_kept_for_the_urgent_where_hosts_hear_late(
+    far_apart: bool,
+    priority: u8,
+    is_placed: bool,
+) {
+    let mut pool = pool(4, 8, 1);
+    pool.set_far_apart(far_apart);
+    let full = Load {
+        running: 8,
+        unread: 0,
+    };
+    let one_left = Load {
+        running: 7,
+        unread: 0,
+    };
+    let loads = (0..4).map(|n| (NodeKey(n), if n == 0 { one_left } else { full }));
+    pool.heard(9, loads.collect(), START);
+
+    let verdict = pool.decide(&mut need(priority, START, 1), START);
+
+    assert_eq!(
+        matches!(verdict, Verdict::Place(_)),
+        is_placed,
+        "{verdict:?}"
+    );
+}
+
 #[test]
 fn a_draining_upstream_gets_nothing_even_when_it_is_the_last() {
     let mut pool = pool(1, 8, 1);
