--- a/stoatjunction_core/tests/entry_limits.rs
+++ b/stoatjunction_core/tests/entry_limits.rs
@@ -479,7 +479,12 @@
     young_among_others = { 500, 9, 10, (9, 10) },
     settled = { 1_000, 9, 10, (9, 10) },
 )]
-fn a_host_that_hears_nobody_yet_counts_on_others(age: u64, heard: usize, known: usize, expected: (usize, usize)) {
+fn a_host_that_hears_nobody_yet_counts_on_others(
+    age: u64,
+    heard: usize,
+    known: usize,
+    expected: (usize, usize),
+) {
     let reach = reach_of(Span::from_millis(age), heard, known);
 
     assert_eq!(reach, expected);
