--- a/stoatjunction_standin/src/worker.rs
+++ b/stoatjunction_standin/src/worker.rs
@@ -20,6 +20,8 @@
 pub enum Act {
     /// Answers 200 with its id and the length of the body it got.
     Answer,
+    /// Answers as the path asks: nine events below /stream/ and /resumed/, else as `Answer`.
+    AsAsked,
     /// Answers with a status of its own.
     Status(u16),
     /// Says that it did not run the request.
@@ -53,6 +55,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
+    /// False when the upstream said that it did not run the request.
+    pub ran: bool,
 }
 
 impl Seen {
@@ -152,12 +156,14 @@
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buf = Vec::new();
-        while let Some(seen) = read(&mut stream, &mut buf).await? {
+        while let Some(mut seen) = read(&mut stream, &mut buf).await? {
             let act = {
                 let mut state = self.lock();
-                state.seen.push(seen.clone());
                 let usual = state.usual.clone().unwrap_or(Act::Answer);
-                state.script.pop_front().unwrap_or(usual)
+                let act = state.script.pop_front().unwrap_or(usual);
+                seen.ran = !matches!(act, Act::NotRun(_));
+                state.seen.push(seen.clone());
+                act
             };
             if !self.act(&mut stream, &seen, act).await? {
                 return Ok(());
@@ -171,8 +177,11 @@
         let id = seen.header("attempt-id").unwrap_or_default();
         let stamp = format!("Server-Stamp: {}\r\n", self.id);
         let body = format!("{} {}", self.id, seen.body.len());
+        let streams = ["/stream/", "/resumed/"];
+        let streams = streams.iter().any(|p| seen.line.contains(p));
         match act {
-            Act::Answer => stream.write_all(&whole(200, id, &stamp, &body)).await?,
+            Act::AsAsked if streams => return self.stream(stream, seen, 9, End::Whole).await,
+            Act::Answer | Act::AsAsked => stream.write_all(&whole(200, id, &stamp, &body)).await?,
             Act::Status(code) => stream.write_all(&whole(code, id, &stamp, &body)).await?,
             Act::NotRun(code) => {
                 let header = "Not-Executed: 1\r\n";
@@ -281,6 +290,7 @@
         .map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned()))
         .collect();
     let mut seen = Seen {
+        ran: true,
         line,
         headers,
         body: Vec::new(),
