--- a/stoatjunction_core/src/entry/limit.rs
+++ b/stoatjunction_core/src/entry/limit.rs
@@ -29,7 +29,8 @@
 const ALONE: Span = Span::from_millis(1_000);
 /// Hosts that there may be, for one that has not heard of any yet.
 const MANY: usize = 16;
-/// Time after its start in which a host keeps to one host's share: others may have started with it.
+/// Time after its start in which what a host sees left says nothing to others, and in which its first
+/// level follows the hosts that it comes to know.
 const SETTLING: Span = Span::from_millis(1_000);
 /// Longest advice to a caller over its limit.
 const MAX_WAIT: Span = Span::from_millis(10_000);
