Log each unanswered attempt, and what is known of its request

The incident's hypotheses could not be told apart: an attempt without an answer left no common line, and nothing said whether it was recorded as a crash, whether another host heard of it, or whether it was forgotten. Four lines now do: event=unanswered with end= and recorded=, event=suspect_sent with the crashes known at the sending, event=crash_heard, event=crashes_cleared. No decision changes.

--- a/stoatjunction_core/src/entry/poison_requests.rs
+++ b/stoatjunction_core/src/entry/poison_requests.rs
@@ -49,14 +49,20 @@
         true
     }
 
-    /// Forgets the crashes of a request that ran to its end.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.crashes.shift_remove(&fingerprint);
+    /// Forgets the crashes of a request that ran to its end, and returns their number.
+    pub fn clear(&mut self, fingerprint: u64) -> usize {
+        let crashes = self.crashes.shift_remove(&fingerprint);
+        crashes.map_or(0, |(attempts, _)| attempts.len())
+    }
+
+    /// Returns the number of known crashes of a request.
+    pub fn crash_count(&self, fingerprint: u64) -> usize {
+        let crashes = self.crashes.get(&fingerprint);
+        crashes.map_or(0, |(attempts, _)| attempts.len())
     }
 
     /// Returns whether the request must not be sent again.
     pub fn is_barred(&self, fingerprint: u64) -> bool {
-        let crashes = self.crashes.get(&fingerprint);
-        crashes.is_some_and(|(attempts, _)| attempts.len() >= MAX_CRASHES)
+        self.crash_count(fingerprint) >= MAX_CRASHES
     }
 }
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -141,6 +141,7 @@
         headers: forwarded_headers(cx, &head.headers, organisation.as_ref()),
         body,
         id: head.headers.get(&names.request_id).cloned(),
+        fingerprint,
     };
     let mut admitted = AdmittedRequest {
         request,
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -25,6 +25,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) id: Option<HeaderValue>,
+    /// Identifies the same request when it comes again, at any host.
+    pub(crate) fingerprint: u64,
 }
 
 impl UpstreamRequest {
@@ -110,6 +112,7 @@
         return Err(AttemptError::DeadlineExceeded);
     }
     let req = build_request(request, target, left, &cx.names);
+    log_suspect(cx, request, target);
     before_send();
     let response = connection.sender.try_send_request(req);
     let response = wait_for_response(response, options, placement, request, target).await?;
@@ -128,6 +131,39 @@
     check_response(&cx.names, request, target, res, connection, placement)
 }
 
+/// Logs the sending of a request under which upstreams have crashed.
+fn log_suspect(cx: &Context, request: &UpstreamRequest, target: &UpstreamTarget) {
+    let crashes = cx
+        .state
+        .borrow()
+        .poison_requests
+        .crash_count(request.fingerprint);
+    if crashes > 0 {
+        log::info!(
+            "event=suspect_sent request={} fingerprint={:016x} upstream={} crashes={crashes}",
+            request.id_for_log(),
+            request.fingerprint,
+            target.id
+        );
+    }
+}
+
+/// Logs the end of an attempt that was sent and got no whole answer, and whether it is recorded as a
+/// crash of the upstream.
+pub(crate) fn log_unanswered(
+    request: &UpstreamRequest,
+    target: &UpstreamTarget,
+    end: &str,
+    recorded: bool,
+) {
+    log::info!(
+        "event=unanswered request={} fingerprint={:016x} upstream={} end={end} recorded={recorded}",
+        request.id_for_log(),
+        request.fingerprint,
+        target.id
+    );
+}
+
 /// Waits for a response. A timeout is recorded for the upstream, but ends the wait only when the
 /// request may be retried.
 async fn wait_for_response<F, T>(
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -167,6 +167,7 @@
                 }
                 Ok(res) => return Ok(res),
                 Err(()) => {
+                    attempt::log_unanswered(&admitted.request, &target, "broken_body", true);
                     record_crash(cx, &admitted);
                     attempts += 1;
                 }
@@ -191,10 +192,14 @@
             }
             Err(AttemptError::Broken) => {
                 placement.end(RunOutcome::Broken);
+                attempt::log_unanswered(&admitted.request, &target, "broken_head", true);
                 record_crash(cx, &admitted);
                 attempts += 1;
             }
-            Err(AttemptError::TimedOut) => attempts += 1,
+            Err(AttemptError::TimedOut) => {
+                attempt::log_unanswered(&admitted.request, &target, "timed_out", false);
+                attempts += 1;
+            }
         }
         if progress.may_have_run.get() && !admitted.route.repeat.is_idempotent() {
             return Err(Refusal::new(Code::UpstreamBroken));
@@ -350,10 +355,7 @@
         status.as_u16()
     );
     if status.is_success() {
-        cx.state
-            .borrow_mut()
-            .poison_requests
-            .clear(admitted.fingerprint);
+        cx.clear_crashes(&admitted.request);
     }
     if implies_not_run(status) && !admitted.route.repeat.is_idempotent() {
         return Ok(
@@ -403,7 +405,6 @@
         deadline: admitted.deadline,
         placement_request: admitted.placement_request.clone(),
         event_filter: std::mem::take(&mut admitted.event_filter),
-        fingerprint: admitted.fingerprint,
         tx,
         _in_progress: InProgress::new(cx),
     };
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -198,7 +198,12 @@
             fingerprint: *fingerprint,
             attempt: *attempt,
         };
-        state.poison_requests.record_crash(crash, now);
+        if state.poison_requests.record_crash(crash, now) {
+            let crashes = state.poison_requests.crash_count(*fingerprint);
+            log::info!(
+                "event=crash_heard fingerprint={fingerprint:016x} from={sender} crashes={crashes}"
+            );
+        }
     }
     record_waiting(state, heartbeat.boot, &heartbeat.waiting);
     record_loads(state, heartbeat.boot, &heartbeat.loads);
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -17,6 +17,7 @@
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::Notify;
 
+use crate::attempt::UpstreamRequest;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::header_names::HeaderNames;
@@ -227,6 +228,18 @@
         }
     }
 
+    /// Forgets the crashes of a request that ran to its end.
+    pub(crate) fn clear_crashes(&self, request: &UpstreamRequest) {
+        let fingerprint = request.fingerprint;
+        let cleared = self.state.borrow_mut().poison_requests.clear(fingerprint);
+        if cleared > 0 {
+            log::info!(
+                "event=crashes_cleared request={} fingerprint={fingerprint:016x} crashes={cleared}",
+                request.id_for_log()
+            );
+        }
+    }
+
     /// Keeps an idle connection for further requests, up to this host's share of the connections
     /// that the upstream accepts.
     pub(crate) fn keep_connection(
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -37,7 +37,6 @@
     pub(crate) deadline: Time,
     pub(crate) placement_request: PlacementRequest,
     pub(crate) event_filter: EventFilter,
-    pub(crate) fingerprint: u64,
     pub(crate) tx: mpsc::Sender<Result<Bytes, StreamAborted>>,
     /// Held from the response head on, so that a shutdown at that moment waits for the stream.
     pub(crate) _in_progress: InProgress,
@@ -97,28 +96,28 @@
                     let service = &self.service;
                     self.cx
                         .keep_connection(service, &target.id, response.connection, idle_timeout);
-                    self.cx
-                        .state
-                        .borrow_mut()
-                        .poison_requests
-                        .clear(self.fingerprint);
+                    self.cx.clear_crashes(&self.request);
                     return true;
                 }
                 SegmentEnd::CallerGone => {
+                    attempt::log_unanswered(&self.request, &target, "caller_left", false);
                     self.log_end("caller_left", &target);
                     return true;
                 }
                 SegmentEnd::TooLate => {
+                    attempt::log_unanswered(&self.request, &target, "too_late", false);
                     self.log_end("late_in_stream", &target);
                     return false;
                 }
                 SegmentEnd::Broken => {
                     placement.end(RunOutcome::Broken);
+                    attempt::log_unanswered(&self.request, &target, "broken_stream", false);
                     self.log_end("cut_in_stream", &target);
                 }
                 SegmentEnd::TimedOut(other) => {
                     next = Some(other);
                     placement.end(RunOutcome::TimedOut);
+                    attempt::log_unanswered(&self.request, &target, "silent_stream", false);
                     self.log_end("silent_in_stream", &target);
                 }
             }
@@ -267,6 +266,7 @@
                 }
                 Err(_) => {
                     placement.end(RunOutcome::Broken);
+                    attempt::log_unanswered(&self.request, &target, "broken_resume", false);
                     *attempts += 1;
                 }
             }
