Reproduce the incident: upstreams that end under a request, in every way and at every host

Callers of the affected request get 502 again and again, and each time an upstream ends with all the other requests that it ran. The stand-in upstream can now end under a request whose path has a marker: before the head or in the answer, with its connections closed, or dark (nothing is sent and its accept queue is full).

--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! engines, plain services, scripted upstreams, the Object API, the metadata store, the host list,
 //! and a fault-injecting TCP proxy.
 
+mod crash;
 pub mod engine;
 pub mod host_list;
 pub mod metadata_store;
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -9,6 +9,11 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+pub use crate::crash::CrashMode;
+use crate::crash::{self, Poison, Status};
 
 /// Interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -74,6 +79,8 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     open: usize,
+    poison: Option<Poison>,
+    crashes: usize,
 }
 
 /// A running scripted upstream.
@@ -82,6 +89,7 @@
     id: String,
     addr: SocketAddr,
     state: Arc<Mutex<State>>,
+    status: Arc<watch::Sender<Status>>,
 }
 
 impl ScriptedUpstream {
@@ -96,22 +104,56 @@
             id: id.to_owned(),
             addr: listener.local_addr()?,
             state: Arc::default(),
+            status: Arc::new(watch::channel(Status::Up).0),
         };
-        let serving = upstream.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let upstream = serving.clone();
-                tokio::spawn(async move {
-                    upstream.lock().connections += 1;
-                    upstream.lock().open += 1;
-                    let _connection_closed = upstream.serve(stream).await;
-                    upstream.lock().open -= 1;
-                });
-            }
-        });
+        tokio::spawn(upstream.clone().run(listener));
         Ok(upstream)
     }
 
+    /// Accepts connections until the upstream crashes, and again once it is restarted.
+    async fn run(self, mut listener: TcpListener) {
+        let mut status = self.status.subscribe();
+        loop {
+            let mut connections = JoinSet::new();
+            let ended = tokio::select! {
+                () = self.accept(&listener, &mut connections) => return,
+                ended = status.wait_for(|s| *s != Status::Up) => ended.map(|s| *s),
+            };
+            let Ok(ended) = ended else { return };
+            if ended == Status::Down {
+                drop((connections, listener));
+                let _sender_is_held = status.wait_for(|s| *s == Status::Up).await;
+            } else {
+                let _filling = crash::stop_accepting(&listener).await;
+                let _sender_is_held = status.wait_for(|s| *s == Status::Up).await;
+                drop((connections, listener));
+            }
+            listener = match crash::bind(self.addr) {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener, connections: &mut JoinSet<()>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            while connections.try_join_next().is_some() {}
+            let upstream = self.clone();
+            connections.spawn(async move {
+                let _open = OpenConnection::new(&upstream.state);
+                let mut status = upstream.status.subscribe();
+                let (mut stream, mut buf) = (stream, Vec::new());
+                let went_dark = tokio::select! {
+                    _closed = upstream.serve(&mut stream, &mut buf) => false,
+                    ended = status.wait_for(|s| *s == Status::Dark) => ended.is_ok(),
+                };
+                if went_dark {
+                    std::future::pending::<()>().await;
+                }
+            });
+        }
+    }
+
     /// Returns the id of the upstream.
     pub fn id(&self) -> &str {
         &self.id
@@ -135,6 +177,22 @@
         self.lock().default = Some(reply);
     }
 
+    /// Crashes in this way whenever a request whose path contains `marker` is received.
+    pub fn crash_on(&self, marker: &str, mode: CrashMode) {
+        let marker = marker.to_owned();
+        self.lock().poison = Some(Poison { marker, mode });
+    }
+
+    /// Returns the number of crashes so far.
+    pub fn crashes(&self) -> usize {
+        self.lock().crashes
+    }
+
+    /// Starts the upstream again after a crash, at the same address.
+    pub fn restart(&self) {
+        self.status.send_replace(Status::Up);
+    }
+
     /// Returns the requests received so far.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         self.lock().received.clone()
@@ -154,9 +212,12 @@
         self.state.lock().expect("upstream lock is not poisoned")
     }
 
-    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        let mut buf = Vec::new();
-        while let Some(mut req) = read_request(&mut stream, &mut buf).await? {
+    async fn serve(&self, stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<()> {
+        while let Some(mut req) = read_request(stream, buf).await? {
+            let poison = self.lock().poison.clone();
+            if let Some(poison) = poison.filter(|p| req.line.contains(&p.marker)) {
+                return self.crash(stream, req, poison.mode).await;
+            }
             let reply = {
                 let mut state = self.lock();
                 let default = state.default.clone().unwrap_or(Reply::Echo);
@@ -165,13 +226,34 @@
                 state.received.push(req.clone());
                 reply
             };
-            if !self.perform(&mut stream, &req, reply).await? {
+            if !self.perform(stream, &req, reply).await? {
                 return Ok(());
             }
         }
         Ok(())
     }
 
+    /// Begins the response as far as `mode` says, and ends the upstream.
+    async fn crash(
+        &self,
+        stream: &mut TcpStream,
+        req: ReceivedRequest,
+        mode: CrashMode,
+    ) -> io::Result<()> {
+        self.lock().received.push(req.clone());
+        if mode.begins_response() {
+            let id = req.header("attempt-id").unwrap_or_default();
+            stream
+                .write_all(crash::begun_response(&self.id, id, &req.line).as_bytes())
+                .await?;
+            // Lets the sender read the beginning before the connection is reset.
+            tokio::time::sleep(EVENT_INTERVAL).await;
+        }
+        self.lock().crashes += 1;
+        self.status.send_replace(mode.status());
+        std::future::pending().await
+    }
+
     /// Sends a reply. Returns true if the connection can be reused.
     async fn perform(
         &self,
@@ -249,6 +331,24 @@
     }
 }
 
+/// Counts a connection until it is dropped.
+struct OpenConnection(Arc<Mutex<State>>);
+
+impl OpenConnection {
+    fn new(state: &Arc<Mutex<State>>) -> OpenConnection {
+        let mut s = state.lock().expect("upstream lock is not poisoned");
+        s.connections += 1;
+        s.open += 1;
+        OpenConnection(state.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.lock().expect("upstream lock is not poisoned").open -= 1;
+    }
+}
+
 /// How an event stream ends.
 #[derive(Clone, Copy, Debug)]
 enum End {
