Ask before every sending whether a request ends upstreams

Callers saw: a copy of such a request that was waiting in a queue, or a stream that was being resumed, was still sent after the third upstream had ended. Cause: the question was asked at admission and before a retry, as two calls of their own; a first sending after a wait and a resumed stream were never checked. The question now stands in attempt::send, right before the first byte, where every path passes, as the deadline's does. The check at admission stays only so that a refusal comes at once.

--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -35,6 +35,8 @@
 ];
 /// Longest wait of a late request for a slot when it is retried, by its caller or by this host.
 pub(crate) const MAX_LATE_WAIT: Span = Span::from_millis(250);
+/// Retry-after of a request under which upstreams crash.
+pub(crate) const BARRED_RETRY_AFTER: Span = Span::from_millis(10_000);
 /// Fraction of the target latency for which a request waits once it can no longer meet it.
 const LATE_WAIT_FRACTION: f64 = 0.25;
 /// Fraction of the target latency that placement plans with; the rest covers the network to the
@@ -167,10 +169,7 @@
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
     if state.poison_requests.is_barred(admitted.fingerprint) {
-        return Err(Refusal::with_retry_after(
-            Code::Barred,
-            Span::from_millis(10_000),
-        ));
+        return Err(Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER));
     }
     let mut status = LimitStatus::Within;
     if let Some(organisation) = admitted.organisation {
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -71,6 +71,8 @@
     NotSent,
     /// Too little time was left to send the request; nothing was sent.
     DeadlineExceeded,
+    /// Upstreams crash under the request; nothing was sent.
+    Barred,
     /// The upstream states that it did not run the request.
     NotRun { status: u16 },
     /// The connection broke or the response was invalid; the upstream may have run the request.
@@ -111,8 +113,10 @@
     if left < MIN_TIME_LEFT {
         return Err(AttemptError::DeadlineExceeded);
     }
+    if is_barred(cx, request, target) {
+        return Err(AttemptError::Barred);
+    }
     let req = build_request(request, target, left, &cx.names);
-    log_suspect(cx, request, target);
     before_send();
     let response = connection.sender.try_send_request(req);
     let response = wait_for_response(response, options, placement, request, target).await?;
@@ -131,21 +135,22 @@
     check_response(&cx.names, request, target, res, connection, placement)
 }
 
-/// Logs the sending of a request under which upstreams have crashed.
-fn log_suspect(cx: &Context, request: &UpstreamRequest, target: &UpstreamTarget) {
-    let crashes = cx
-        .state
-        .borrow()
-        .poison_requests
-        .crash_count(request.fingerprint);
+/// Returns whether upstreams crash under the request. Every attempt asks right before it is sent,
+/// since crashes may have become known while the request waited.
+fn is_barred(cx: &Context, request: &UpstreamRequest, target: &UpstreamTarget) -> bool {
+    let state = cx.state.borrow();
+    let crashes = state.poison_requests.crash_count(request.fingerprint);
+    let is_barred = state.poison_requests.is_barred(request.fingerprint);
     if crashes > 0 {
         log::info!(
-            "event=suspect_sent request={} fingerprint={:016x} upstream={} crashes={crashes}",
+            "event=suspect request={} fingerprint={:016x} upstream={} crashes={crashes} sent={}",
             request.id_for_log(),
             request.fingerprint,
-            target.id
+            target.id,
+            !is_barred
         );
     }
+    is_barred
 }
 
 /// Logs the end of an attempt that was sent and got no whole answer, and whether it is recorded as a
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -13,7 +13,9 @@
 use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::time::{Span, Time};
 
-use crate::admission::{AdmittedRequest, HOP_BY_HOP_HEADERS, MAX_LATE_WAIT, admit_request};
+use crate::admission::{
+    AdmittedRequest, BARRED_RETRY_AFTER, HOP_BY_HOP_HEADERS, MAX_LATE_WAIT, admit_request,
+};
 use crate::attempt::{self, AttemptError, AttemptOptions, UpstreamResponse, UpstreamTarget};
 use crate::body::Body;
 use crate::clock;
@@ -173,6 +175,7 @@
                 }
             },
             Err(AttemptError::DeadlineExceeded) => return error.ok_or_else(|| too_late(progress)),
+            Err(AttemptError::Barred) => return error.ok_or_else(|| barred(progress)),
             Err(AttemptError::NotSent) => {
                 progress.may_have_run.set(may_have_run_before);
                 unreachable += 1;
@@ -239,15 +242,19 @@
     Refusal::with_retry_after(Code::Declined, Span::from_millis(200))
 }
 
+fn barred(progress: &Progress) -> Refusal {
+    if progress.may_have_run.get() {
+        return Refusal::new(Code::UpstreamBroken);
+    }
+    Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER)
+}
+
 fn may_retry(cx: &Rc<Context>, admitted: &AdmittedRequest, attempts: u32) -> bool {
     if attempts >= admitted.route.attempts {
         return false;
     }
     let (_, known_hosts) = cx.reachable_hosts();
     let mut state = cx.state.borrow_mut();
-    if state.poison_requests.is_barred(admitted.fingerprint) {
-        return false;
-    }
     state
         .retry_budget
         .try_retry(&admitted.service, known_hosts, clock::now())
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -259,7 +259,7 @@
                     return Some((response, placement, target));
                 }
                 Err(AttemptError::NotSent) => unreachable += 1,
-                Err(AttemptError::DeadlineExceeded) => return None,
+                Err(AttemptError::DeadlineExceeded | AttemptError::Barred) => return None,
                 Ok(_) => {
                     placement.end(RunOutcome::Error);
                     *attempts += 1;
