Derive from the one end of a run what it says about the request

Callers saw: streams cut midway, resumed streams and requests to silent upstreams went on ending upstreams (8 to 12 in place of 3), and each end cut all other requests that ran there.

Cause: the end of a run was told twice, by hand, at each place: to the upstream's health at eight places and to the record of crashes at two. Ends without an outcome (the caller leaves, the time is up) had no place at all.

The slot of a run (Placement) ends exactly once, on whatever path. It now carries the crash that this would be from the first byte sent, and derives both from its end: a broken connection is a crash; silence, at a time-out or at an end without an outcome, starts a connection to the upstream, and only if that fails is it a crash, since an upstream that accepts is slow or hangs. Nothing is checked while other runs hear from the upstream. A resumed stream that the upstream declines counts as shed and no longer as broken, and one that times out counts once for the health.

The record itself changes in what makes it forget: 4,096 other requests no longer push out a barred one (the least important goes), a barred request is remembered for ten minutes after it last came in place of one minute after its last crash, and a whole answer refutes only crashes before it.

Ruled out: counting the crash of one upstream start once. Restarts under the same id are not told apart while the list is late, and requests.rs expects three of any.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -312,6 +312,13 @@
         }
     }
 
+    /// Records that bytes of a response arrived from an upstream.
+    pub fn record_bytes(&mut self, key: UpstreamKey, now: Time) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.heard_at = now;
+        }
+    }
+
     /// Records the load that an upstream reported in a response.
     pub fn record_load_report(&mut self, key: UpstreamKey, running: u32, waiting: u32, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -34,6 +34,8 @@
     /// Running requests that the upstream reported beyond those known to the hosts.
     pub(super) unaccounted_running: u32,
     pub(super) unaccounted_at: Time,
+    /// Time at which this host last received bytes of a response.
+    pub(super) heard_at: Time,
     pub(super) cold_until: Time,
     pub(super) health: Health,
     pub(super) slowdown: Slowdown,
@@ -51,6 +53,7 @@
             reserved_slots: 0,
             unaccounted_running: 0,
             unaccounted_at: Time::default(),
+            heard_at: Time::default(),
             cold_until: now + Span::from_millis(listed.cold_ms),
             health: Health::default(),
             slowdown: Slowdown::default(),
@@ -62,6 +65,11 @@
         self.own_load
     }
 
+    /// Returns when this host last received bytes of a response.
+    pub fn heard_at(&self) -> Time {
+        self.heard_at
+    }
+
     /// Returns the slowdown relative to the pool and the number of observations behind it.
     pub fn slowdown(&self) -> (f64, u32) {
         (self.slowdown.get(), self.slowdown.count())
--- a/stoatjunction_core/tests/entry_parts.rs
+++ b/stoatjunction_core/tests/entry_parts.rs
@@ -1,10 +1,9 @@
-//! Routes, poison requests, circuit breakers, latency forecasts and the prompt cache index of an
+//! Routes, circuit breakers, latency forecasts and the prompt cache index of an
 //! entry host.
 
 use stoatjunction_core::entry::config::{Configuration, Organisation, Route, RouteKind};
 use stoatjunction_core::entry::health::{Health, RunOutcome};
 use stoatjunction_core::entry::latency::{LatencyModel, Slowdown};
-use stoatjunction_core::entry::poison_requests::{Crash, MAX_CRASHES, PoisonRequests};
 use stoatjunction_core::entry::pool::UpstreamKey;
 use stoatjunction_core::entry::prompt_cache::{PromptCacheIndex, PromptPart};
 use stoatjunction_core::entry::route_table::{RouteError, RouteTable, choose_service};
@@ -90,40 +89,6 @@
     assert_eq!(choose_service(&route("r", "/"), draw), Some(service));
 }
 
-#[test]
-fn a_request_is_barred_after_its_third_crash_on_any_hosts() {
-    let mut poison_requests = PoisonRequests::default();
-    let crash_of = |attempt| Crash {
-        fingerprint: 1,
-        attempt,
-    };
-
-    for attempt in 0..MAX_CRASHES as u64 {
-        assert!(!poison_requests.is_barred(1));
-        poison_requests.record_crash(crash_of(attempt), NOW);
-    }
-
-    assert!(poison_requests.is_barred(1));
-    assert!(!poison_requests.is_barred(2));
-}
-
-#[test]
-fn a_crash_reported_twice_counts_once_and_a_complete_response_clears_it() {
-    let mut poison_requests = PoisonRequests::default();
-    let crash = Crash {
-        fingerprint: 1,
-        attempt: 9,
-    };
-
-    let counted: Vec<bool> = (0..MAX_CRASHES)
-        .map(|_| poison_requests.record_crash(crash, NOW))
-        .collect();
-
-    assert_eq!(counted, [true, false, false]);
-    poison_requests.clear(1);
-    assert!(poison_requests.record_crash(crash, NOW));
-}
-
 #[parameterized(
     unreachable = { RunOutcome::Unreachable, 2 },
     broken = { RunOutcome::Broken, 3 },
--- /dev/null
+++ b/stoatjunction_core/tests/entry_poison.rs
@@ -0,0 +1,215 @@
+//! Poison requests: what bars a request, what is forgotten, and what hosts report to each other.
+
+use stoatjunction_core::entry::poison_requests::{Crash, CrashReport, MAX_CRASHES, PoisonRequests};
+use stoatjunction_core::time::{Span, Time};
+use yare::parameterized;
+
+const NOW: Time = Time(3_600_000_000);
+const FINGERPRINT: u64 = 7;
+
+fn crash(attempt: u64) -> Crash {
+    Crash {
+        fingerprint: FINGERPRINT,
+        attempt,
+    }
+}
+
+fn after(secs: u64) -> Time {
+    NOW + Span::from_millis(secs * 1_000)
+}
+
+/// Returns what is known after this many crashes.
+fn after_crashes(count: u64) -> PoisonRequests {
+    let mut known = PoisonRequests::default();
+    for attempt in 0..count {
+        assert!(known.record_crash(crash(attempt), NOW));
+    }
+    known
+}
+
+fn all_reports(known: &PoisonRequests, now: Time) -> Vec<CrashReport> {
+    known.reports(usize::MAX, now, || 0)
+}
+
+fn merge_all(known: &mut PoisonRequests, reports: &[CrashReport], now: Time) {
+    for report in reports {
+        known.merge(report, now);
+    }
+}
+
+#[test]
+fn a_request_is_barred_after_its_third_crash() {
+    for count in 0..=MAX_CRASHES as u64 {
+        let known = after_crashes(count);
+
+        assert_eq!(known.is_barred(FINGERPRINT), count >= 3);
+        assert!(!known.is_barred(8));
+    }
+}
+
+#[test]
+fn a_crash_that_is_seen_in_several_ways_counts_once() {
+    let mut known = PoisonRequests::default();
+
+    let counted = [(); 4].map(|()| known.record_crash(crash(1), NOW));
+
+    assert_eq!(counted, [true, false, false, false]);
+    assert!(!known.is_barred(FINGERPRINT));
+}
+
+#[test]
+fn a_whole_response_refutes_earlier_crashes_and_late_reports_of_them() {
+    let mut known = after_crashes(2);
+    let reports = all_reports(&known, after(1));
+
+    assert_eq!(known.clear(FINGERPRINT, after(1)), 2);
+    merge_all(&mut known, &reports, after(1));
+
+    assert_eq!(known.crash_count(FINGERPRINT), 0);
+    assert!(known.record_crash(crash(1), after(2)));
+}
+
+#[test]
+fn crashes_of_many_other_requests_do_not_unbar_a_request() {
+    let mut known = after_crashes(3);
+
+    for fingerprint in 1_000..20_000 {
+        let other = Crash {
+            fingerprint,
+            attempt: 1,
+        };
+        known.record_crash(other, after(1));
+    }
+
+    assert!(known.is_barred(FINGERPRINT));
+}
+
+#[parameterized(
+    a_minute_later = { 61, true },
+    ten_minutes_later = { 600, false },
+)]
+fn a_request_that_does_not_come_again_is_forgotten_at_last(secs: u64, barred: bool) {
+    let mut known = after_crashes(3);
+
+    known.expire(after(secs));
+
+    assert_eq!(known.is_barred(FINGERPRINT), barred);
+}
+
+#[test]
+fn a_request_that_keeps_coming_stays_barred() {
+    let mut known = after_crashes(3);
+
+    for minutes in 1..60 {
+        known.record_refusal(FINGERPRINT, after(60 * minutes));
+        known.expire(after(60 * minutes));
+    }
+
+    assert!(known.is_barred(FINGERPRINT));
+}
+
+#[parameterized(
+    one_crash_each = { [1, 1, 1] },
+    none_and_two = { [0, 2, 1] },
+)]
+fn hosts_that_saw_different_crashes_agree_after_reports_in_any_order(counts: [u64; 3]) {
+    let mut hosts: Vec<PoisonRequests> = Vec::new();
+    let mut attempt = 0;
+    for count in counts {
+        let mut host = PoisonRequests::default();
+        for _ in 0..count {
+            host.record_crash(crash(attempt), NOW);
+            attempt += 1;
+        }
+        hosts.push(host);
+    }
+
+    // Reports reach the next host only, and the first round runs backwards.
+    for round in [[2, 1, 0], [0, 1, 2], [1, 2, 0]] {
+        for from in round {
+            let reports = all_reports(&hosts[from], after(1));
+            merge_all(&mut hosts[(from + 1) % 3], &reports, after(1));
+        }
+    }
+
+    for host in &hosts {
+        assert!(host.is_barred(FINGERPRINT));
+    }
+}
+
+#[test]
+fn hosts_do_not_remind_each_other_of_a_crash_for_ever() {
+    let (mut a, mut b) = (after_crashes(3), PoisonRequests::default());
+
+    for secs in 1..700 {
+        a.expire(after(secs));
+        b.expire(after(secs));
+        let reports = all_reports(&a, after(secs));
+        merge_all(&mut b, &reports, after(secs));
+        let reports = all_reports(&b, after(secs));
+        merge_all(&mut a, &reports, after(secs));
+    }
+
+    assert_eq!(a.crash_count(FINGERPRINT), 0);
+    assert_eq!(b.crash_count(FINGERPRINT), 0);
+}
+
+#[test]
+fn reports_name_the_requests_with_the_most_crashes_first() {
+    let mut known = after_crashes(3);
+    for fingerprint in 1_000..1_100 {
+        let other = Crash {
+            fingerprint,
+            attempt: 1,
+        };
+        known.record_crash(other, NOW);
+    }
+
+    let reports = known.reports(4, after(1), || 0);
+
+    assert_eq!(reports.len(), 4);
+    assert_eq!(reports[0].fingerprint, FINGERPRINT);
+}
+
+#[test]
+fn crashes_are_stored_by_the_host_that_saw_them_and_after_a_while_by_others() {
+    let seen = after_crashes(2);
+    let mut heard = PoisonRequests::default();
+    merge_all(&mut heard, &all_reports(&seen, NOW), NOW);
+
+    assert_eq!(seen.unstored(NOW).len(), 2);
+    assert_eq!(heard.unstored(NOW).len(), 0);
+    assert_eq!(heard.unstored(after(2)).len(), 2);
+    assert_eq!(after_crashes(1).unstored(after(2)).len(), 0);
+}
+
+#[test]
+fn crashes_that_the_store_lost_are_stored_again() {
+    let mut known = after_crashes(3);
+    for attempt in 0..3 {
+        known.set_stored(crash(attempt), true);
+    }
+    assert!(known.unstored(after(9)).is_empty());
+
+    known.set_none_stored();
+    known.restore(crash(1), Span::from_millis(9_000), after(9));
+
+    assert_eq!(known.unstored(after(9)), [crash(0), crash(2)]);
+}
+
+#[parameterized(
+    recent = { 5, true },
+    an_hour_old = { 3_600, true },
+    two_days_old = { 172_800, false },
+)]
+fn a_host_that_starts_takes_stored_crashes_over(secs: u64, barred: bool) {
+    let mut known = PoisonRequests::default();
+
+    for attempt in 0..3 {
+        known.restore(crash(attempt), Span::from_millis(secs * 1_000), NOW);
+    }
+
+    assert_eq!(known.is_barred(FINGERPRINT), barred);
+    assert_eq!(known.take_obsolete().len(), if barred { 0 } else { 3 });
+    assert!(known.unstored(after(9)).is_empty());
+}
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -50,7 +50,6 @@
     pub(crate) service: String,
     pub(crate) organisation: Option<u64>,
     pub(crate) units: u64,
-    pub(crate) fingerprint: u64,
     pub(crate) deadline: Time,
     pub(crate) placement_request: PlacementRequest,
     pub(crate) event_filter: EventFilter,
@@ -150,7 +149,6 @@
         service,
         organisation: organisation_id,
         units,
-        fingerprint,
         deadline,
         placement_request,
         event_filter: EventFilter::resume_after(number(&names.last_event)),
@@ -168,7 +166,13 @@
 fn check_limits(cx: &Rc<Context>, admitted: &AdmittedRequest) -> Result<LimitStatus, Refusal> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    if state.poison_requests.is_barred(admitted.fingerprint) {
+    if state
+        .poison_requests
+        .is_barred(admitted.request.fingerprint)
+    {
+        state
+            .poison_requests
+            .record_refusal(admitted.request.fingerprint, now);
         return Err(Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER));
     }
     let mut status = LimitStatus::Within;
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
@@ -44,6 +45,16 @@
     pub(crate) addr: String,
 }
 
+impl UpstreamTarget {
+    /// Returns the target of attempts at a listed upstream.
+    pub(crate) fn new(listed: &ListedUpstream) -> UpstreamTarget {
+        UpstreamTarget {
+            id: listed.id.clone(),
+            addr: listed.addr.clone(),
+        }
+    }
+}
+
 /// Options of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptOptions {
@@ -51,6 +62,8 @@
     pub(crate) deadline: Time,
     /// Time after which an upstream that has sent no response head counts as timed out.
     pub(crate) response_timeout: Span,
+    /// Silence from which on an end without a response head is suspicious.
+    pub(crate) silence_limit: Span,
     /// True when the request may still be sent to another upstream.
     pub(crate) may_retry: bool,
 }
@@ -118,10 +131,13 @@
     }
     let req = build_request(request, target, left, &cx.names);
     before_send();
+    placement.mark_sent(request.fingerprint);
+    placement.set_silence_limit(options.silence_limit);
     let response = connection.sender.try_send_request(req);
     let response = wait_for_response(response, options, placement, request, target).await?;
     let res = response.map_err(|mut e| {
         if e.take_message().is_some() {
+            placement.mark_unsent();
             return AttemptError::NotSent;
         }
         log::info!(
@@ -153,22 +169,6 @@
     is_barred
 }
 
-/// Logs the end of an attempt that was sent and got no whole answer, and whether it is recorded as a
-/// crash of the upstream.
-pub(crate) fn log_unanswered(
-    request: &UpstreamRequest,
-    target: &UpstreamTarget,
-    end: &str,
-    recorded: bool,
-) {
-    log::info!(
-        "event=unanswered request={} fingerprint={:016x} upstream={} end={end} recorded={recorded}",
-        request.id_for_log(),
-        request.fingerprint,
-        target.id
-    );
-}
-
 /// Waits for a response. A timeout is recorded for the upstream, but ends the wait only when the
 /// request may be retried.
 async fn wait_for_response<F, T>(
@@ -187,6 +187,7 @@
         return Ok(response);
     }
     placement.record_outcome(RunOutcome::TimedOut);
+    placement.check_silence();
     log::info!(
         "event=response_timeout request={} upstream={} after_ms={}",
         request.id_for_log(),
@@ -194,6 +195,7 @@
         options.response_timeout.as_millis()
     );
     if options.kind.is_idempotent() && options.may_retry {
+        placement.silence_checked().await;
         return Err(AttemptError::TimedOut);
     }
     Ok(response.await)
@@ -233,6 +235,7 @@
     connection: Connection,
     placement: &Placement,
 ) -> Result<UpstreamResponse, AttemptError> {
+    placement.record_bytes();
     let (head, body) = res.into_parts();
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some() && echoed != request.id.as_ref() {
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -10,7 +10,6 @@
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::health::RunOutcome;
-use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::admission::{
@@ -148,6 +147,7 @@
             kind: admitted.route.repeat,
             deadline: admitted.deadline,
             response_timeout: placement.response_timeout(admitted.route.aim),
+            silence_limit: admitted.route.aim,
             may_retry: attempts + 1 < admitted.route.attempts
                 && placement.has_alternative(&admitted.placement_request.tried),
         };
@@ -168,11 +168,7 @@
                     error = Some(res);
                 }
                 Ok(res) => return Ok(res),
-                Err(()) => {
-                    attempt::log_unanswered(&admitted.request, &target, "broken_body", true);
-                    record_crash(cx, &admitted);
-                    attempts += 1;
-                }
+                Err(()) => attempts += 1,
             },
             Err(AttemptError::DeadlineExceeded) => return error.ok_or_else(|| too_late(progress)),
             Err(AttemptError::Barred) => return error.ok_or_else(|| barred(progress)),
@@ -195,14 +191,9 @@
             }
             Err(AttemptError::Broken) => {
                 placement.end(RunOutcome::Broken);
-                attempt::log_unanswered(&admitted.request, &target, "broken_head", true);
-                record_crash(cx, &admitted);
-                attempts += 1;
-            }
-            Err(AttemptError::TimedOut) => {
-                attempt::log_unanswered(&admitted.request, &target, "timed_out", false);
                 attempts += 1;
             }
+            Err(AttemptError::TimedOut) => attempts += 1,
         }
         if progress.may_have_run.get() && !admitted.route.repeat.is_idempotent() {
             return Err(Refusal::new(Code::UpstreamBroken));
@@ -260,22 +251,6 @@
         .try_retry(&admitted.service, known_hosts, clock::now())
 }
 
-fn record_crash(cx: &Rc<Context>, admitted: &AdmittedRequest) {
-    let crash = Crash {
-        fingerprint: admitted.fingerprint,
-        attempt: fastrand::u64(..),
-    };
-    let mut state = cx.state.borrow_mut();
-    state.poison_requests.record_crash(crash, clock::now());
-    state
-        .pending_updates
-        .crashes
-        .push((crash, CRASH_REPORT_COUNT));
-}
-
-/// Number of heartbeats that report a crash.
-const CRASH_REPORT_COUNT: u8 = 3;
-
 /// Logs a placement with the load on which it was decided.
 fn log_placement(
     cx: &Rc<Context>,
@@ -342,7 +317,9 @@
         connection,
         idle_timeout,
     } = response;
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let silence_limit = placement.response_timeout(admitted.route.aim);
+    let collected = placement.watch_silence(silence_limit, collected).await;
     let Ok(collected) = collected else {
         placement.end(RunOutcome::Broken);
         return Err(());
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -8,6 +8,7 @@
 use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::pool::{Load, Upstream, WaitingCounts};
 use stoatjunction_core::entry::rate_limiter::{Reporter, UsageReport};
+use stoatjunction_core::time::Span;
 
 use crate::catch_up;
 use crate::clock;
@@ -35,7 +36,7 @@
     pub(crate) waiting: Vec<(String, WaitingCounts)>,
     #[serde(rename = "told")]
     pub(crate) usage: Vec<UsageReport>,
-    /// Fingerprints of requests that crashed an upstream, with the attempt.
+    /// Fingerprints of requests that just crashed an upstream, with the attempt.
     #[serde(rename = "breaks")]
     pub(crate) crashes: Vec<(u64, u64)>,
     /// Prompt parts with the number of the upstream that they were sent to.
@@ -198,7 +199,10 @@
             fingerprint: *fingerprint,
             attempt: *attempt,
         };
-        if state.poison_requests.record_crash(crash, now) {
+        if state
+            .poison_requests
+            .record_peer_crash(crash, Span::ZERO, now)
+        {
             let crashes = state.poison_requests.crash_count(*fingerprint);
             log::info!(
                 "event=crash_heard fingerprint={fingerprint:016x} from={sender} crashes={crashes}"
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod catch_up;
 pub mod clock;
 mod connection_pool;
+mod crash;
 pub mod daemon;
 pub mod event_filter;
 mod followers;
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -1,16 +1,20 @@
 //! Placement of requests on upstreams: scheduling, waiting and the slot that a run holds.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use crate::attempt::UpstreamTarget;
 use crate::clock;
+use crate::crash;
 use crate::state::Context;
 
 /// Multiple of the forecast time to the first event that, added to the target latency, gives the
@@ -145,24 +149,50 @@
 }
 
 /// Slot held by a run on an upstream. Dropping it ends the run.
+///
+/// It is the one place where a run ends, however it ends: with an outcome, or without one because the
+/// caller left or the time was up. What follows from the end for the upstream's health and for the
+/// request is derived here.
 #[derive(Debug)]
 pub(crate) struct Placement {
     cx: Rc<Context>,
     service: String,
     pub(crate) key: UpstreamKey,
     run: RunKey,
+    /// The upstream as it was listed when the run was placed; it may leave the list meanwhile.
+    target: Option<UpstreamTarget>,
+    /// The crash that it would be if the upstream ended under the request, from the moment at which it
+    /// may run that.
+    possible_crash: Cell<Option<Crash>>,
+    /// Time of the sending or of the last bytes received since.
+    heard_at: Cell<Time>,
+    /// Silence of the upstream that is suspicious when the run ends without a response.
+    silence_limit: Cell<Span>,
+    /// Check whether the upstream, which has fallen silent, still accepts connections.
+    silence_check: RefCell<Option<JoinHandle<()>>>,
     outcome: Option<RunOutcome>,
 }
 
 impl Placement {
     fn new(cx: &Rc<Context>, service: &str, key: UpstreamKey, run: RunKey) -> Placement {
-        cx.state.borrow_mut().pending_updates.changed = true;
+        let target = {
+            let mut state = cx.state.borrow_mut();
+            state.pending_updates.changed = true;
+            let scheduler = state.schedulers.get(service);
+            let upstream = scheduler.and_then(|s| s.pool.upstream(key));
+            upstream.map(|u| UpstreamTarget::new(&u.listed))
+        };
         cx.gossip_wakeup.notify_one();
         Placement {
             cx: cx.clone(),
             service: service.to_owned(),
             key,
             run,
+            target,
+            possible_crash: Cell::new(None),
+            heard_at: Cell::default(),
+            silence_limit: Cell::default(),
+            silence_check: RefCell::new(None),
             outcome: None,
         }
     }
@@ -171,18 +201,88 @@
         &self.service
     }
 
-    /// Returns the address of the upstream while it is listed.
+    /// Returns the upstream.
     pub(crate) fn target(&self) -> Option<UpstreamTarget> {
+        self.target.clone()
+    }
+
+    /// Records that the upstream may run the request from now on.
+    pub(crate) fn mark_sent(&self, fingerprint: u64) {
+        self.possible_crash.set(Some(Crash {
+            fingerprint,
+            attempt: fastrand::u64(..),
+        }));
+        self.heard_at.set(clock::now());
+    }
+
+    /// Sets the silence of the upstream from which on an end without a response is suspicious.
+    pub(crate) fn set_silence_limit(&self, limit: Span) {
+        self.silence_limit.set(limit);
+    }
+
+    /// Records that bytes of the response arrived.
+    pub(crate) fn record_bytes(&self) {
+        let now = clock::now();
+        self.heard_at.set(now);
+        self.with_pool(|pool| pool.record_bytes(self.key, now));
+    }
+
+    /// Records that nothing of the request was sent after all.
+    pub(crate) fn mark_unsent(&self) {
+        self.possible_crash.set(None);
+    }
+
+    /// Awaits `work`, during which the upstream is expected to send something. If it is silent for
+    /// `limit`, finds out meanwhile whether it has crashed.
+    pub(crate) async fn watch_silence<F>(&self, limit: Span, work: F) -> F::Output
+    where
+        F: Future,
+    {
+        tokio::pin!(work);
+        if let Ok(output) = tokio::time::timeout(limit.into(), &mut work).await {
+            return output;
+        }
+        self.check_silence();
+        work.await
+    }
+
+    /// Starts to find out whether the upstream, which has been silent for long, has crashed. A machine
+    /// without power resets no connections.
+    pub(crate) fn check_silence(&self) {
+        let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) else {
+            return;
+        };
+        let silence = clock::now().since(self.upstream_heard_at());
+        if silence < self.silence_limit.get() {
+            return;
+        }
+        let mut check = self.silence_check.borrow_mut();
+        if check.as_ref().is_some_and(|c| !c.is_finished()) {
+            return;
+        }
+        let (cx, target) = (self.cx.clone(), target.clone());
+        let task = async move { crash::check_upstream(&cx, crash, &target).await };
+        *check = Some(tokio::task::spawn_local(task));
+    }
+
+    /// Returns when this run or any other on the upstream last received bytes.
+    fn upstream_heard_at(&self) -> Time {
         let state = self.cx.state.borrow();
-        let upstream = state
-            .schedulers
-            .get(&self.service)?
-            .pool
-            .upstream(self.key)?;
-        Some(UpstreamTarget {
-            id: upstream.listed.id.clone(),
-            addr: upstream.listed.addr.clone(),
-        })
+        let scheduler = state.schedulers.get(&self.service);
+        let upstream = scheduler.and_then(|s| s.pool.upstream(self.key));
+        let heard_at = upstream.map_or(Time::default(), |u| u.heard_at());
+        heard_at.max(self.heard_at.get())
+    }
+
+    /// Waits until it is known whether a silent upstream has crashed, before the request is sent to
+    /// another one.
+    pub(crate) async fn silence_checked(&self) {
+        let check = self.silence_check.take();
+        if let Some(check) = check
+            && let Err(e) = check.await
+        {
+            log::warn!("event=silence_check_failed reason=\"{e}\"");
+        }
     }
 
     /// Records that a stream has begun or that a plain response is complete.
@@ -234,6 +334,15 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
+        match self.outcome {
+            None => self.check_silence(),
+            Some(RunOutcome::Broken) => {
+                if let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) {
+                    crash::record(&self.cx, crash, target, "broken");
+                }
+            }
+            Some(_) => {}
+        }
         self.with_pool(|pool| pool.end_run(self.run, self.outcome, clock::now()));
         self.cx.state.borrow_mut().pending_updates.changed = true;
         self.cx.gossip_wakeup.notify_one();
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -231,7 +231,12 @@
     /// Forgets the crashes of a request that ran to its end.
     pub(crate) fn clear_crashes(&self, request: &UpstreamRequest) {
         let fingerprint = request.fingerprint;
-        let cleared = self.state.borrow_mut().poison_requests.clear(fingerprint);
+        let now = clock::now();
+        let cleared = self
+            .state
+            .borrow_mut()
+            .poison_requests
+            .clear(fingerprint, now);
         if cleared > 0 {
             log::info!(
                 "event=crashes_cleared request={} fingerprint={fingerprint:016x} crashes={cleared}",
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -100,24 +100,20 @@
                     return true;
                 }
                 SegmentEnd::CallerGone => {
-                    attempt::log_unanswered(&self.request, &target, "caller_left", false);
                     self.log_end("caller_left", &target);
                     return true;
                 }
                 SegmentEnd::TooLate => {
-                    attempt::log_unanswered(&self.request, &target, "too_late", false);
                     self.log_end("late_in_stream", &target);
                     return false;
                 }
                 SegmentEnd::Broken => {
                     placement.end(RunOutcome::Broken);
-                    attempt::log_unanswered(&self.request, &target, "broken_stream", false);
                     self.log_end("cut_in_stream", &target);
                 }
                 SegmentEnd::TimedOut(other) => {
                     next = Some(other);
                     placement.end(RunOutcome::TimedOut);
-                    attempt::log_unanswered(&self.request, &target, "silent_stream", false);
                     self.log_end("silent_in_stream", &target);
                 }
             }
@@ -155,6 +151,7 @@
     ) -> SegmentEnd {
         let deadline = tokio::time::sleep_until(clock::instant(self.deadline));
         let event_timeout = self.event_timeout();
+        placement.set_silence_limit(self.target_gap.unwrap_or(DEFAULT_EVENT_TIMEOUT));
         let mut last_frame_at = clock::now();
         let event_timer = tokio::time::sleep_until(clock::instant(last_frame_at + event_timeout));
         tokio::pin!(deadline, event_timer);
@@ -164,9 +161,13 @@
                 () = self.tx.closed() => return SegmentEnd::CallerGone,
                 frame = response.body.frame() => frame,
                 () = &mut deadline => return SegmentEnd::TooLate,
-                () = &mut event_timer, if may_resume => {
+                () = &mut event_timer => {
                     if clock::now() >= last_frame_at + event_timeout {
-                        if let Some(other) = self.place_on_other(placement.key).await {
+                        placement.check_silence();
+                        if may_resume
+                            && let Some(other) = self.place_on_other(placement.key).await
+                        {
+                            placement.silence_checked().await;
                             return SegmentEnd::TimedOut(other);
                         }
                         last_frame_at = clock::now();
@@ -176,6 +177,7 @@
                 }
             };
             last_frame_at = clock::now();
+            placement.record_bytes();
             let data = match frame {
                 None if self.event_filter.check_end().is_ok() => return SegmentEnd::Complete,
                 None | Some(Err(_)) => return SegmentEnd::Broken,
@@ -236,6 +238,7 @@
                 kind: self.kind,
                 deadline: self.deadline,
                 response_timeout: placement.response_timeout(self.target_latency),
+                silence_limit: self.target_latency,
                 may_retry: *attempts + 1 < self.max_attempts
                     && placement.has_alternative(&self.placement_request.tried),
             };
@@ -264,11 +267,15 @@
                     placement.end(RunOutcome::Error);
                     *attempts += 1;
                 }
-                Err(_) => {
+                Err(AttemptError::NotRun { .. }) => {
+                    placement.end(RunOutcome::Shed);
+                    *attempts += 1;
+                }
+                Err(AttemptError::Broken) => {
                     placement.end(RunOutcome::Broken);
-                    attempt::log_unanswered(&self.request, &target, "broken_resume", false);
                     *attempts += 1;
                 }
+                Err(AttemptError::TimedOut) => *attempts += 1,
             }
             self.placement_request.tried.push(key);
         }
