Report crashes of requests as state that is repeated, not as events

Callers saw: a host that was restarted, or sat in another data centre of a large fleet, ended three more upstreams before it refused the request; restarted three times, or at three hosts, nine.

Cause: a crash was told once, in the next three heartbeats, to the hosts that get these. A host that was starting, frozen or cut off in that moment never heard; between data centres of a large fleet heartbeats are replaced by summaries, which had no place for crashes.

Hosts now repeat what they know in a message of its own: at once to all when something is new or a host joins, else each second to three at random; relays of a large fleet pass it between data centres, and whoever hears it passes it on.

Cost: nothing while no request is suspect.

--- /dev/null
+++ b/stoatjunction_entry/src/crash_reports.rs
@@ -0,0 +1,82 @@
+//! Reports between hosts on requests that crash upstreams.
+//!
+//! A new crash travels with the next heartbeats. These reports repeat what is known, so that a host that
+//! missed them, since it was starting, frozen, cut off or in another data centre, learns it from any host
+//! that knows: in a large fleet relays exchange reports, and whoever hears one passes it on.
+
+use std::net::IpAddr;
+
+use stoatjunction_core::entry::poison_requests::CrashReport;
+use stoatjunction_core::time::{Span, Time};
+
+use crate::clock;
+use crate::relay;
+use crate::state::{Context, SharedState};
+
+/// Interval at which hosts repeat what they know.
+const REPEAT_INTERVAL: Span = Span::from_millis(1_000);
+/// Hosts to which it is repeated each time, chosen at random. A report reaches all of a data centre of
+/// 100 hosts in about four intervals, and mostly in one, since all hosts repeat it.
+const REPEAT_RECEIVERS: usize = 3;
+/// Requests in one message, which has to fit a datagram.
+const MAX_REPORTS: usize = 16;
+
+/// When reports were last sent.
+#[derive(Debug, Default)]
+pub(crate) struct CrashReporter {
+    repeated_at: Time,
+}
+
+impl CrashReporter {
+    /// Returns the reports to send now and their receivers out of `known`, the hosts that get this
+    /// host's heartbeats. News, and anything while a host is new, goes to all of them.
+    pub(crate) fn next(
+        &mut self,
+        cx: &Context,
+        mut known: Vec<IpAddr>,
+        has_new_host: bool,
+    ) -> Option<(Vec<CrashReport>, Vec<IpAddr>)> {
+        let now = clock::now();
+        let mut state = cx.state.borrow_mut();
+        let has_news = state.poison_requests.take_news();
+        let is_due = now.since(self.repeated_at) >= REPEAT_INTERVAL;
+        if !has_news && !has_new_host && !is_due {
+            return None;
+        }
+        if is_due {
+            self.repeated_at = now;
+            state.poison_requests.expire(now);
+        }
+        if !has_news && !has_new_host {
+            fastrand::shuffle(&mut known);
+            known.truncate(REPEAT_RECEIVERS);
+        }
+        let draw = || fastrand::u64(..);
+        let reports = state.poison_requests.reports(MAX_REPORTS, now, draw);
+        known.extend(remote_receivers(cx, &state));
+        (!reports.is_empty()).then_some((reports, known))
+    }
+}
+
+/// Returns the hosts of other data centres that this host reports to as the relay of a large fleet.
+fn remote_receivers(cx: &Context, state: &SharedState) -> Vec<IpAddr> {
+    if !state.has_many_hosts() || !relay::is_relay(cx, state) {
+        return Vec::new();
+    }
+    relay::receivers(cx, state)
+}
+
+/// Merges the reports of the host at `sender`.
+pub(crate) fn receive(cx: &Context, sender: IpAddr, reports: &[CrashReport]) {
+    let now = clock::now();
+    let mut state = cx.state.borrow_mut();
+    for report in reports {
+        if state.poison_requests.merge(report, now) {
+            let crashes = state.poison_requests.crash_count(report.fingerprint);
+            log::info!(
+                "event=crash_heard fingerprint={:016x} from={sender} crashes={crashes}",
+                report.fingerprint
+            );
+        }
+    }
+}
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use stoatjunction_core::entry::poison_requests::CrashReport;
 use stoatjunction_core::entry::pool::DataCentreHosts;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
 use stoatjunction_core::time::{Span, Time};
 use tokio::net::UdpSocket;
 
 use crate::clock;
+use crate::crash_reports::{self, CrashReporter};
 use crate::heartbeat::{self, Heartbeat};
 use crate::relay::{self, DataCentreSummary, host_number};
 use crate::state::{Context, Peer, SharedState};
@@ -44,6 +46,7 @@
 enum HostMessage {
     Own(Box<Heartbeat>),
     DataCentre(DataCentreSummary),
+    Crashes(Vec<CrashReport>),
 }
 
 /// Sends and receives messages for as long as the daemon runs.
@@ -52,6 +55,7 @@
     let socket = Rc::new(UdpSocket::bind(addr).await?);
     tokio::task::spawn_local(receive(cx.clone(), socket.clone()));
     let mut last_full = clock::now();
+    let mut crash_reporter = CrashReporter::default();
     loop {
         let wait = if is_alone(&cx) {
             MIN_INTERVAL
@@ -69,6 +73,11 @@
             send_summary(&cx, &socket);
         }
         let receivers = send_heartbeat(&cx, &socket, full);
+        if let Some((reports, to)) =
+            crash_reporter.next(&cx, self::receivers(&cx, full), has_new_host)
+        {
+            send(&cx, &socket, &HostMessage::Crashes(reports), &to);
+        }
         let interval =
             MIN_INTERVAL.mul_f64((receivers as f64 / RECEIVERS_AT_MIN_INTERVAL).max(1.0));
         tokio::time::sleep(interval).await;
@@ -250,6 +259,9 @@
                 forward_summary(&cx, &socket, sender.ip(), bytes);
                 relay::receive(&cx, sender.ip(), summary);
             }
+            Ok((HostMessage::Crashes(reports), _)) => {
+                crash_reports::receive(&cx, sender.ip(), &reports);
+            }
             Err(e) => log::warn!(
                 "event=message_decode_failed from={} reason={e}",
                 sender.ip()
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 mod connection_pool;
 mod crash;
+mod crash_reports;
 pub mod daemon;
 pub mod event_filter;
 mod followers;
