Keep crashes of requests in the platform's store

Callers saw: after all hosts were killed, or at hosts that reached the store but no other host, a request under which three upstreams had ended was sent as if it were new: three more upstreams ended at each.

Cause: what is known of such a request lived in the hosts' memory only, though it has to outlast them; the configuration and the list of upstreams, which the store keeps, come back by themselves.

Each crash of a request with two or more becomes an object of our own kind, named by fingerprint and attempt, created once and never changed: a lost answer, a late execution and two writers are harmless, and a conflict means that it is there. The host that saw the crash writes it at once, others that follow the store after 2 s if nobody has. Hosts list and watch the kind like the configuration (watch of 15 s, since news comes from hosts first); what a listing lacks is written again, so a store that comes back from an older copy gets it back.

Weighed: one object a request with its count, changed under its revision: a late write of an old count would need a condition and a retry. Single crashes are not stored: most requests that see one ran beside the one that caused it.

--- a/stoatjunction_core/src/entry/poison_requests.rs
+++ b/stoatjunction_core/src/entry/poison_requests.rs
@@ -232,23 +232,22 @@
             .collect()
     }
 
-    /// Returns the crashes that this host has to write to the store: those that it saw itself, and
-    /// those of others that no one has written in time.
-    pub fn unstored(&self, now: Time) -> Vec<Crash> {
-        let suspects = self.records.iter();
-        let suspects = suspects.filter(|(_, r)| r.crashes.len() >= MIN_STORED_CRASHES);
+    /// Returns the crashes that this host has to write to the store: those that it saw itself and, if
+    /// `for_others`, those of other hosts that no one has written in time.
+    pub fn unstored(&self, for_others: bool, now: Time) -> Vec<Crash> {
         let due = |c: &&KnownCrash| {
-            let is_left_by_others = now.since(c.known_since) >= OTHER_HOST_STORES_AFTER;
-            !c.is_stored && (c.is_own || is_left_by_others)
+            let is_left = for_others && now.since(c.known_since) >= OTHER_HOST_STORES_AFTER;
+            !c.is_stored && (c.is_own || is_left)
         };
-        suspects
-            .flat_map(|(fingerprint, r)| {
-                r.crashes.iter().filter(due).map(|c| Crash {
-                    fingerprint: *fingerprint,
-                    attempt: c.attempt,
-                })
+        let suspects = self.records.iter();
+        let suspects = suspects.filter(|(_, r)| r.crashes.len() >= MIN_STORED_CRASHES);
+        let crashes = suspects.flat_map(|(fingerprint, r)| {
+            r.crashes.iter().filter(due).map(|c| Crash {
+                fingerprint: *fingerprint,
+                attempt: c.attempt,
             })
-            .collect()
+        });
+        crashes.collect()
     }
 
     /// Returns the time since a crash, if it is known.
@@ -288,9 +287,18 @@
         }
     }
 
-    /// Returns the crashes that have to be removed from the store.
-    pub fn take_obsolete(&mut self) -> Vec<Crash> {
-        std::mem::take(&mut self.obsolete)
+    /// Returns a crash that has to be removed from the store.
+    pub fn next_obsolete(&self) -> Option<Crash> {
+        self.obsolete.last().copied()
+    }
+
+    /// Records that a crash was removed from the store, by this host or by another that knew it to be
+    /// obsolete.
+    pub fn set_removed(&mut self, crash: Crash) {
+        self.obsolete.retain(|c| *c != crash);
+        if let Some(record) = self.records.get_mut(&crash.fingerprint) {
+            record.crashes.retain(|c| c.attempt != crash.attempt);
+        }
     }
 }
 
--- a/stoatjunction_core/tests/entry_poison.rs
+++ b/stoatjunction_core/tests/entry_poison.rs
@@ -177,10 +177,11 @@
     let mut heard = PoisonRequests::default();
     merge_all(&mut heard, &all_reports(&seen, NOW), NOW);
 
-    assert_eq!(seen.unstored(NOW).len(), 2);
-    assert_eq!(heard.unstored(NOW).len(), 0);
-    assert_eq!(heard.unstored(after(2)).len(), 2);
-    assert_eq!(after_crashes(1).unstored(after(2)).len(), 0);
+    assert_eq!(seen.unstored(true, NOW).len(), 2);
+    assert_eq!(heard.unstored(true, NOW).len(), 0);
+    assert_eq!(heard.unstored(true, after(2)).len(), 2);
+    assert_eq!(heard.unstored(false, after(2)).len(), 0);
+    assert_eq!(after_crashes(1).unstored(true, after(2)).len(), 0);
 }
 
 #[test]
@@ -189,12 +190,25 @@
     for attempt in 0..3 {
         known.set_stored(crash(attempt), true);
     }
-    assert!(known.unstored(after(9)).is_empty());
+    assert!(known.unstored(true, after(9)).is_empty());
 
     known.set_none_stored();
     known.restore(crash(1), Span::from_millis(9_000), after(9));
 
-    assert_eq!(known.unstored(after(9)), [crash(0), crash(2)]);
+    assert_eq!(known.unstored(true, after(9)), [crash(0), crash(2)]);
+}
+
+#[test]
+fn a_stored_crash_that_is_refuted_is_removed_from_the_store_once() {
+    let mut known = after_crashes(2);
+    known.set_stored(crash(0), true);
+
+    known.clear(FINGERPRINT, after(1));
+
+    assert_eq!(known.next_obsolete(), Some(crash(0)));
+    known.set_removed(crash(0));
+    assert_eq!(known.next_obsolete(), None);
+    assert!(known.unstored(true, after(9)).is_empty());
 }
 
 #[parameterized(
@@ -210,6 +224,6 @@
     }
 
     assert_eq!(known.is_barred(FINGERPRINT), barred);
-    assert_eq!(known.take_obsolete().len(), if barred { 0 } else { 3 });
-    assert!(known.unstored(after(9)).is_empty());
+    assert_eq!(known.next_obsolete().is_some(), !barred);
+    assert!(known.unstored(true, after(9)).is_empty());
 }
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -26,6 +26,7 @@
     }
     drop(state);
     cx.gossip_wakeup.notify_one();
+    cx.crash_wakeup.notify_one();
 }
 
 /// Records a crash if the upstream, which has fallen silent, accepts no connection either. One that
--- /dev/null
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -0,0 +1,81 @@
+//! Keeps crashes of upstreams under requests in the platform's store, so that a fleet whose hosts were
+//! all killed, and hosts that reach only the store, know of them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use stoatjunction_core::entry::poison_requests::Crash;
+
+use crate::clock;
+use crate::followers;
+use crate::state::Context;
+use crate::store_watch::{Store, StoreError};
+
+/// Longest time until a crash is written whose host did not wake this task.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed request.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Pause between requests, since all hosts share the store's rate.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Writes crashes and removes obsolete ones for as long as the daemon runs.
+pub(crate) async fn run<S>(cx: Rc<Context>, store: Rc<S>)
+where
+    S: Store,
+{
+    loop {
+        let _either = tokio::time::timeout(CHECK_INTERVAL, cx.crash_wakeup.notified()).await;
+        if let Err(e) = write_all(&cx, &*store).await {
+            log::info!("event=crash_write_failed reason=\"{e}\"");
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+async fn write_all<S>(cx: &Context, store: &S) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    // Only hosts that follow the store see what others have written.
+    let for_others = followers::must_follow(cx);
+    let unstored = {
+        let state = cx.state.borrow();
+        state.poison_requests.unstored(for_others, clock::now())
+    };
+    for crash in unstored {
+        write(cx, store, crash).await?;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    loop {
+        let obsolete = cx.state.borrow().poison_requests.next_obsolete();
+        let Some(crash) = obsolete else {
+            return Ok(());
+        };
+        store.remove_crash(crash).await?;
+        cx.state.borrow_mut().poison_requests.set_removed(crash);
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+}
+
+async fn write<S>(cx: &Context, store: &S, crash: Crash) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let age = {
+        let state = cx.state.borrow();
+        state.poison_requests.age(crash, clock::now())
+    };
+    // It may have been refuted while others were written.
+    let Some(age) = age else {
+        return Ok(());
+    };
+    store.add_crash(crash, age).await?;
+    let mut state = cx.state.borrow_mut();
+    state.poison_requests.set_stored(crash, true);
+    log::info!(
+        "event=crash_stored fingerprint={:016x} attempt={:016x}",
+        crash.fingerprint,
+        crash.attempt
+    );
+    Ok(())
+}
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::task::LocalSet;
 
 use crate::clock;
+use crate::crash_writer;
 use crate::gossip;
 use crate::header_names::HeaderNames;
 use crate::ingress;
@@ -19,7 +20,7 @@
 use crate::snapshot;
 use crate::sockets;
 use crate::state::{Context, Phase};
-use crate::store_watch::{self, Topic, WatchedStore};
+use crate::store_watch::{self, Store, Topic};
 
 /// Time after SIGTERM in which new connections are still accepted: the load balancer needs two
 /// health checks, a second apart, to notice.
@@ -46,7 +47,7 @@
     stop: StopRx,
 ) -> miette::Result<ShutdownOutcome>
 where
-    S: WatchedStore + 'static,
+    S: Store + 'static,
     R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
     let local = LocalSet::new();
@@ -63,7 +64,7 @@
     stop: StopRx,
 ) -> miette::Result<ShutdownOutcome>
 where
-    S: WatchedStore + 'static,
+    S: Store + 'static,
     R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
     let hangup = signal(SignalKind::hangup()).into_diagnostic()?;
@@ -90,7 +91,8 @@
     spawn(Box::pin(tick(cx.clone())));
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
-    for topic in [Topic::Configuration, Topic::Upstreams] {
+    spawn(Box::pin(crash_writer::run(cx.clone(), store.clone())));
+    for topic in [Topic::Configuration, Topic::Upstreams, Topic::Crashes] {
         spawn(Box::pin(store_watch::follow(
             cx.clone(),
             store.clone(),
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_pool;
 mod crash;
 mod crash_reports;
+mod crash_writer;
 pub mod daemon;
 pub mod event_filter;
 mod followers;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -82,7 +82,7 @@
     dc: String,
     pub(crate) started: Time,
     pub(crate) store_failed_at: Option<Time>,
-    /// Time of the store's last response by topic; `None` while this host doesn't follow the store
+    /// Time of the store's last response on the configuration and on upstreams; `None` while this host doesn't follow the store
     /// or gets no response.
     pub(crate) store_answered_at: [Option<Time>; 2],
     /// Time after which a leaving upstream must get no more work.
@@ -116,6 +116,8 @@
     pub(crate) connections: ConnectionPool,
     /// Wakes the gossip task to send a heartbeat soon.
     pub(crate) gossip_wakeup: Notify,
+    /// Wakes the task that stores crashes.
+    pub(crate) crash_wakeup: Notify,
     pub(crate) in_progress: Cell<usize>,
 }
 
@@ -151,6 +153,7 @@
             state: RefCell::new(state),
             connections: ConnectionPool::default(),
             gossip_wakeup: Notify::new(),
+            crash_wakeup: Notify::new(),
             in_progress: Cell::new(0),
         }
     }
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -1,4 +1,5 @@
-//! Watches on the platform's store: the configuration and the list of upstreams.
+//! Watches on the platform's store: the configuration, the list of upstreams, and crashes of upstreams
+//! under requests.
 
 use std::future::Future;
 use std::rc::Rc;
@@ -6,16 +7,15 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
-use stoatjunction_core::time::Span;
+use stoatjunction_core::time::{Span, Time};
 use thiserror::Error;
 
 use crate::clock;
 use crate::followers;
 use crate::state::Context;
 
-/// Longest time that a watch waits for changes; a lost response is detected soon after.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Backoff after the first failed request.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest backoff after failed requests.
@@ -39,6 +39,19 @@
     Configuration,
     /// The list of upstreams.
     Upstreams,
+    /// Crashes of upstreams under requests, which hosts write themselves.
+    Crashes,
+}
+
+impl Topic {
+    /// Longest time that a watch waits for changes; a lost response is detected soon after. Crashes
+    /// mostly arrive from other hosts, and each request to the store is billed.
+    fn watch_timeout(self) -> Duration {
+        match self {
+            Topic::Configuration | Topic::Upstreams => Duration::from_secs(4),
+            Topic::Crashes => Duration::from_secs(15),
+        }
+    }
 }
 
 /// A change in the store.
@@ -60,6 +73,15 @@
         /// Revision of the removal.
         revision: u64,
     },
+    /// A crash was written.
+    Crash {
+        /// The crash.
+        crash: Crash,
+        /// Time since it was seen.
+        age: Span,
+    },
+    /// A crash was removed.
+    CrashRemoved(Crash),
 }
 
 /// The changes up to a revision.
@@ -82,8 +104,8 @@
     Failed(String),
 }
 
-/// The store that is watched.
-pub trait WatchedStore {
+/// The platform's store.
+pub trait Store {
     /// Returns all current entries of a topic.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<Changes, StoreError>>;
 
@@ -94,17 +116,23 @@
         since: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, StoreError>>;
+
+    /// Writes a crash that was seen `age` ago. Succeeds if it is there already.
+    fn add_crash(&self, crash: Crash, age: Span) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes a crash. Succeeds if it is not there.
+    fn remove_crash(&self, crash: Crash) -> impl Future<Output = Result<(), StoreError>>;
 }
 
 /// Follows one topic for as long as the daemon runs.
 pub(crate) async fn follow<S>(cx: Rc<Context>, store: Rc<S>, topic: Topic)
 where
-    S: WatchedStore,
+    S: Store,
 {
     let mut backoff = MIN_BACKOFF;
     loop {
         if !followers::must_follow(&cx) {
-            cx.state.borrow_mut().store_answered_at[topic as usize] = None;
+            set_answered(&cx, topic, None);
             tokio::time::sleep(FOLLOW_CHECK_INTERVAL).await;
             continue;
         }
@@ -126,16 +154,23 @@
 }
 
 fn record_response(cx: &Context, topic: Topic) {
-    cx.state.borrow_mut().store_answered_at[topic as usize] = Some(clock::now());
+    set_answered(cx, topic, Some(clock::now()));
+}
+
+fn set_answered(cx: &Context, topic: Topic, at: Option<Time>) {
+    let answered_at = &mut cx.state.borrow_mut().store_answered_at;
+    if let Some(answered_at) = answered_at.get_mut(topic as usize) {
+        *answered_at = at;
+    }
 }
 
 /// Applies changes until a request fails or enough other hosts follow the store.
 async fn watch_from<S>(cx: &Context, store: &S, topic: Topic, mut revision: u64)
 where
-    S: WatchedStore,
+    S: Store,
 {
     while followers::must_follow(cx) {
-        match store.watch(topic, revision, WATCH_TIMEOUT).await {
+        match store.watch(topic, revision, topic.watch_timeout()).await {
             Ok(changes) => {
                 record_response(cx, topic);
                 revision = revision.max(changes.revision);
@@ -159,9 +194,8 @@
 
 fn record_failure(cx: &Context, topic: Topic, e: &StoreError) {
     log::info!("event=store_request_failed topic={topic:?} reason={e}");
-    let mut state = cx.state.borrow_mut();
-    state.store_failed_at = Some(clock::now());
-    state.store_answered_at[topic as usize] = None;
+    cx.state.borrow_mut().store_failed_at = Some(clock::now());
+    set_answered(cx, topic, None);
 }
 
 /// Returns the delay of removals shortly after a failed request to the store: entries that expired
@@ -176,10 +210,17 @@
 }
 
 fn replace(cx: &Context, topic: Topic, all: Changes) {
-    if topic == Topic::Configuration {
-        apply(cx, all);
-        return;
+    match topic {
+        Topic::Upstreams => replace_upstreams(cx, all),
+        Topic::Configuration => apply(cx, all),
+        Topic::Crashes => {
+            cx.state.borrow_mut().poison_requests.set_none_stored();
+            apply(cx, all);
+        }
     }
+}
+
+fn replace_upstreams(cx: &Context, all: Changes) {
     let delay = removal_delay(cx);
     let mut items = IndexMap::new();
     for change in all.changes {
@@ -216,6 +257,14 @@
                 let mut state = cx.state.borrow_mut();
                 has_changed |= state.upstream_list.remove(&id, revision, delay, now);
             }
+            Change::Crash { crash, age } => {
+                let mut state = cx.state.borrow_mut();
+                state.poison_requests.restore(crash, age, clock::now());
+            }
+            Change::CrashRemoved(crash) => {
+                let mut state = cx.state.borrow_mut();
+                state.poison_requests.set_removed(crash);
+            }
         }
     }
     if has_changed {
--- a/stoatjunction_standin/src/metadata_store.rs
+++ b/stoatjunction_standin/src/metadata_store.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::{Value, json};
@@ -147,13 +148,16 @@
             ResponseMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
             ResponseMode::Hang => std::future::pending().await,
         }
-        if req.method() != Method::GET {
-            return status(StatusCode::METHOD_NOT_ALLOWED);
-        }
         let path = req.uri().path().to_owned();
         let Some(kind) = path.strip_prefix("/stoatjunction/objects/") else {
             return status(StatusCode::NOT_FOUND);
         };
+        match *req.method() {
+            Method::GET => {}
+            Method::POST => return self.create(kind, req).await,
+            Method::DELETE => return self.delete(kind),
+            _ => return status(StatusCode::METHOD_NOT_ALLOWED),
+        }
         let query = req.uri().query().unwrap_or_default().to_owned();
         match number(&query, "watch") {
             Some(since) => self.watch(kind, since, number(&query, "wait-ms")).await,
@@ -161,6 +165,45 @@
         }
     }
 
+    async fn create(&self, kind: &str, req: Request<Incoming>) -> Response<Body> {
+        let Ok(body) = req.into_body().collect().await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let Ok(object) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let Some(name) = object["metadata"]["name"].as_str() else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if self.object(kind, name).is_some() {
+            return status(StatusCode::CONFLICT);
+        }
+        self.put(kind, name, object["specification"].clone());
+        ok(&object)
+    }
+
+    fn delete(&self, kind_and_name: &str) -> Response<Body> {
+        let object = kind_and_name.split_once('/');
+        let Some((kind, name)) = object.filter(|(k, n)| self.object(k, n).is_some()) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        self.remove(kind, name);
+        ok(&json!({}))
+    }
+
+    /// Returns an object.
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        let key = (kind.to_owned(), name.to_owned());
+        self.lock().objects.get(&key).cloned()
+    }
+
+    /// Returns the names of all objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.lock();
+        let of_kind = state.objects.keys().filter(|(k, _)| k == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
         let state = self.lock();
         let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
