Count the attempts of a stream before and after its head together

Callers with a resumable stream saw it go from upstream to upstream: the route allows two, but the count began anew at the head of the response, and a resume that got a head was not counted at all.

The count is one number now, in the admitted request, and goes with the stream; what was only counted when it failed is counted when it was sent.

--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -51,6 +51,8 @@
     pub(crate) organisation: Option<u64>,
     pub(crate) units: u64,
     pub(crate) deadline: Time,
+    /// Upstreams that it was sent to, including those that declined it.
+    pub(crate) attempts: u32,
     pub(crate) placement_request: PlacementRequest,
     pub(crate) event_filter: EventFilter,
 }
@@ -150,6 +152,7 @@
         organisation: organisation_id,
         units,
         deadline,
+        attempts: 0,
         placement_request,
         event_filter: EventFilter::resume_after(number(&names.last_event)),
         route,
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -118,7 +118,6 @@
     mut admitted: AdmittedRequest,
     progress: &Progress,
 ) -> Result<Response<Body>, Refusal> {
-    let mut attempts = 0;
     let mut unreachable = 0;
     // An upstream's error response, returned when no other upstream gives a better one.
     let mut error: Option<Response<Body>> = None;
@@ -133,7 +132,7 @@
         let Some(target) = placement.target() else {
             continue;
         };
-        if attempts > 0 && !may_retry(cx, &admitted, attempts) {
+        if admitted.attempts > 0 && !may_retry(cx, &admitted) {
             return error.ok_or_else(|| no_response(progress));
         }
         let may_have_run_before = progress.may_have_run.get();
@@ -148,7 +147,7 @@
             deadline: admitted.deadline,
             response_timeout: placement.response_timeout(admitted.route.aim),
             silence_limit: admitted.route.aim,
-            may_retry: attempts + 1 < admitted.route.attempts
+            may_retry: admitted.attempts + 1 < admitted.route.attempts
                 && placement.has_alternative(&admitted.placement_request.tried),
         };
         let result = attempt::send(
@@ -162,14 +161,14 @@
         .await;
         let key = placement.key;
         match result {
-            Ok(response) => match finish(cx, &mut admitted, response, placement, &target).await {
-                Ok(res) if is_retryable_error(&admitted, &res, attempts) => {
-                    attempts += 1;
-                    error = Some(res);
+            Ok(response) => {
+                admitted.attempts += 1;
+                match finish(cx, &mut admitted, response, placement, &target).await {
+                    Ok(res) if is_retryable_error(&admitted, &res) => error = Some(res),
+                    Ok(res) => return Ok(res),
+                    Err(()) => {}
                 }
-                Ok(res) => return Ok(res),
-                Err(()) => attempts += 1,
-            },
+            }
             Err(AttemptError::DeadlineExceeded) => return error.ok_or_else(|| too_late(progress)),
             Err(AttemptError::Barred) => return error.ok_or_else(|| barred(progress)),
             Err(AttemptError::NotSent) => {
@@ -181,7 +180,7 @@
             }
             Err(AttemptError::NotRun { status }) => {
                 progress.may_have_run.set(may_have_run_before);
-                attempts += 1;
+                admitted.attempts += 1;
                 let shed = status != StatusCode::MISDIRECTED_REQUEST.as_u16();
                 placement.end(if shed {
                     RunOutcome::Shed
@@ -191,14 +190,14 @@
             }
             Err(AttemptError::Broken) => {
                 placement.end(RunOutcome::Broken);
-                attempts += 1;
+                admitted.attempts += 1;
             }
-            Err(AttemptError::TimedOut) => attempts += 1,
+            Err(AttemptError::TimedOut) => admitted.attempts += 1,
         }
         if progress.may_have_run.get() && !admitted.route.repeat.is_idempotent() {
             return Err(Refusal::new(Code::UpstreamBroken));
         }
-        if attempts >= admitted.route.attempts {
+        if admitted.attempts >= admitted.route.attempts {
             return error.ok_or_else(|| no_response(progress));
         }
         admitted.placement_request.tried.push(key);
@@ -214,9 +213,9 @@
 
 /// Returns whether the response is an upstream error to a request that may run again on another
 /// upstream.
-fn is_retryable_error(admitted: &AdmittedRequest, res: &Response<Body>, attempts: u32) -> bool {
+fn is_retryable_error(admitted: &AdmittedRequest, res: &Response<Body>) -> bool {
     let is_safe = admitted.route.repeat == RouteKind::Safe;
-    is_safe && res.status().is_server_error() && attempts + 1 < admitted.route.attempts
+    is_safe && res.status().is_server_error() && admitted.attempts < admitted.route.attempts
 }
 
 fn overloaded(progress: &Progress, retry_after: Span) -> Refusal {
@@ -240,8 +239,8 @@
     Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER)
 }
 
-fn may_retry(cx: &Rc<Context>, admitted: &AdmittedRequest, attempts: u32) -> bool {
-    if attempts >= admitted.route.attempts {
+fn may_retry(cx: &Rc<Context>, admitted: &AdmittedRequest) -> bool {
+    if admitted.attempts >= admitted.route.attempts {
         return false;
     }
     let (_, known_hosts) = cx.reachable_hosts();
@@ -383,6 +382,7 @@
         request: admitted.request.clone(),
         service: admitted.service.clone(),
         kind: admitted.route.repeat,
+        attempts: admitted.attempts,
         max_attempts: admitted.route.attempts,
         target_latency: admitted.route.aim,
         target_gap: admitted.route.pause,
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -30,6 +30,8 @@
     pub(crate) request: UpstreamRequest,
     pub(crate) service: String,
     pub(crate) kind: RouteKind,
+    /// Upstreams that the request was sent to, before the head of the response and since.
+    pub(crate) attempts: u32,
     pub(crate) max_attempts: u32,
     pub(crate) target_latency: Span,
     /// Target for the gap between two events.
@@ -80,11 +82,10 @@
         mut placement: Placement,
         mut target: UpstreamTarget,
     ) -> bool {
-        let mut attempts = 1;
         loop {
             let key = placement.key;
             let mut next = None;
-            let may_resume = self.kind == RouteKind::Resumable && attempts < self.max_attempts;
+            let may_resume = self.kind == RouteKind::Resumable && self.attempts < self.max_attempts;
             match self
                 .forward_segment(&mut response, &placement, may_resume)
                 .await
@@ -119,7 +120,7 @@
             }
             drop(response);
             self.placement_request.tried.push(key);
-            match self.resume(&mut attempts, next).await {
+            match self.resume(next).await {
                 Some(resumed) => (response, placement, target) = resumed,
                 None => return false,
             }
@@ -212,7 +213,6 @@
     /// Resumes the stream on another upstream, first on the one whose slot is `held`.
     async fn resume(
         &mut self,
-        attempts: &mut u32,
         mut held: Option<Placement>,
     ) -> Option<(UpstreamResponse, Placement, UpstreamTarget)> {
         if self.kind != RouteKind::Resumable {
@@ -224,7 +224,7 @@
             self.request.headers.insert(name, HeaderValue::from(last));
         }
         let mut unreachable = 0;
-        while *attempts < self.max_attempts && unreachable < MAX_UNREACHABLE {
+        while self.attempts < self.max_attempts && unreachable < MAX_UNREACHABLE {
             self.placement_request.late = true;
             self.placement_request.wait_until = (clock::now() + MAX_LATE_WAIT).min(self.deadline);
             let placement = match held.take() {
@@ -239,7 +239,7 @@
                 deadline: self.deadline,
                 response_timeout: placement.response_timeout(self.target_latency),
                 silence_limit: self.target_latency,
-                may_retry: *attempts + 1 < self.max_attempts
+                may_retry: self.attempts + 1 < self.max_attempts
                     && placement.has_alternative(&self.placement_request.tried),
             };
             let attempt = attempt::send(
@@ -257,6 +257,7 @@
             };
             match result {
                 Ok(response) if response.head.status.is_success() => {
+                    self.attempts += 1;
                     placement.record_first_event();
                     self.log_end("resumed", &target);
                     return Some((response, placement, target));
@@ -265,17 +266,17 @@
                 Err(AttemptError::DeadlineExceeded | AttemptError::Barred) => return None,
                 Ok(_) => {
                     placement.end(RunOutcome::Error);
-                    *attempts += 1;
+                    self.attempts += 1;
                 }
                 Err(AttemptError::NotRun { .. }) => {
                     placement.end(RunOutcome::Shed);
-                    *attempts += 1;
+                    self.attempts += 1;
                 }
                 Err(AttemptError::Broken) => {
                     placement.end(RunOutcome::Broken);
-                    *attempts += 1;
+                    self.attempts += 1;
                 }
-                Err(AttemptError::TimedOut) => *attempts += 1,
+                Err(AttemptError::TimedOut) => self.attempts += 1,
             }
             self.placement_request.tried.push(key);
         }
