Count the fixed part of the retry budget as spent after a restart

Looked for elsewhere: a bound of the whole fleet that is kept in one process and starts anew with it. The budget for retries did. Hosts that had spent their part and were killed together had it again at once: 92 retries where 62 are allowed (one host), 126 of 110 (seven) in retries_around_a_restart_of_all_hosts_stay_within_the_budget, red before and green after.

A host now has its part of the fixed allowance one window after its start; what its own callers' requests earn it has at once. At the first start of the whole fleet, which the platform's settings name, nothing was spent. Ruled out: a part that grows with time (what was spent right before the restart still counts in the same window). The fixture of the platform tests says which start is the first, as the platform does.

--- a/stoatjunction_core/src/entry/retry_budget.rs
+++ b/stoatjunction_core/src/entry/retry_budget.rs
@@ -22,6 +22,15 @@
     pub window: Span,
 }
 
+/// Whether the whole fleet starts for the first time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FirstStart {
+    /// No host has spent anything yet.
+    Yes,
+    /// The host started at this time, and may have spent its part of the fixed allowance right before.
+    No(Time),
+}
+
 #[derive(Clone, Debug, Default)]
 struct Window {
     requests: VecDeque<Time>,
@@ -32,14 +41,16 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     config: RetryBudgetConfig,
+    start: FirstStart,
     services: IndexMap<String, Window>,
 }
 
 impl RetryBudget {
-    /// Creates an unspent budget.
-    pub fn new(config: RetryBudgetConfig) -> RetryBudget {
+    /// Creates a budget. After a restart its fixed allowance counts as spent for one window.
+    pub fn new(config: RetryBudgetConfig, start: FirstStart) -> RetryBudget {
         RetryBudget {
             config,
+            start,
             services: IndexMap::new(),
         }
     }
@@ -61,16 +72,25 @@
     /// covers it.
     pub fn try_retry(&mut self, service: &str, hosts: usize, now: Time) -> bool {
         let config = self.config;
+        let extra_retries = self.extra_retries(now);
         let w = self.services.entry(service.to_owned()).or_default();
         w.trim(config.window, now);
         let earned = config.ratio * w.requests.len() as f64;
-        let allowed = SAFETY_FACTOR * (earned + config.extra_retries / hosts.max(1) as f64);
+        let allowed = SAFETY_FACTOR * (earned + extra_retries / hosts.max(1) as f64);
         if w.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
         w.retries.push_back(now);
         true
     }
+
+    /// Returns the fixed allowance of all hosts, as far as this one may use its part.
+    fn extra_retries(&self, now: Time) -> f64 {
+        match self.start {
+            FirstStart::No(at) if now.since(at) <= self.config.window => 0.0,
+            _ => self.config.extra_retries,
+        }
+    }
 }
 
 impl Window {
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -24,6 +24,8 @@
     pub heartbeat_port: u16,
     /// TCP port for fetching snapshots from other hosts, the same on all hosts.
     pub snapshot_port: u16,
+    /// True when the whole fleet starts for the first time.
+    pub first_start: bool,
     /// Hosts to contact first.
     pub seeds: Vec<IpAddr>,
     /// Budget for retries.
@@ -49,6 +51,7 @@
             ready: SocketAddr::new(loopback, 8_081),
             heartbeat_port: 8_090,
             snapshot_port: 8_091,
+            first_start: false,
             seeds: Vec::new(),
             retry_budget: RetryBudgetConfig {
                 ratio: 0.2,
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -10,7 +10,7 @@
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::queue::RequestId;
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
-use stoatjunction_core::entry::retry_budget::RetryBudget;
+use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::upstream_list::UpstreamList;
 use stoatjunction_core::hash;
@@ -124,6 +124,10 @@
 impl Context {
     pub(crate) fn new(settings: EntrySettings, names: HeaderNames) -> Context {
         let now = clock::now();
+        let first_start = match settings.first_start {
+            true => FirstStart::Yes,
+            false => FirstStart::No(now),
+        };
         let mut state = SharedState {
             phase: Phase::Serving,
             routes: None,
@@ -131,7 +135,7 @@
             has_list: false,
             schedulers: IndexMap::new(),
             rate_limiter: RateLimiter::new(settings.tolerance.usable(), now),
-            retry_budget: RetryBudget::new(settings.retry_budget),
+            retry_budget: RetryBudget::new(settings.retry_budget, first_start),
             poison_requests: PoisonRequests::default(),
             pending_updates: PendingUpdates::default(),
             peers: IndexMap::new(),
