--- a/stoatjunction_core/src/entry/poison_requests.rs
+++ b/stoatjunction_core/src/entry/poison_requests.rs
@@ -30,6 +30,8 @@
 /// Age that a stored crash has at most after a restart: the store does not tell how recently the
 /// request was refused.
 const MAX_RESTORED_AGE: Span = Span::from_millis(300_000);
+/// Longest delay of a report on its way, by which hosts differ about the time of a crash.
+const MAX_REPORT_DELAY: Span = Span::from_millis(1_000);
 /// Limit on the remembered requests.
 const MAX_RECORDS: usize = 4_096;
 
@@ -265,6 +267,11 @@
             return;
         }
         self.record_peer_crash(crash, age.min(MAX_RESTORED_AGE), now);
+        if self.age(crash, now).is_none() {
+            // It was refuted and removed, but the store has come back from an older copy.
+            self.obsolete.push(crash);
+            return;
+        }
         self.set_stored(crash, true);
     }
 
@@ -292,12 +299,20 @@
         self.obsolete.last().copied()
     }
 
-    /// Records that a crash was removed from the store, by this host or by another that knew it to be
-    /// obsolete.
+    /// Records that this host removed a crash from the store.
     pub fn set_removed(&mut self, crash: Crash) {
         self.obsolete.retain(|c| *c != crash);
-        if let Some(record) = self.records.get_mut(&crash.fingerprint) {
-            record.crashes.retain(|c| c.attempt != crash.attempt);
+        self.set_stored(crash, false);
+    }
+
+    /// Records that another host or an operator removed a crash from the store: it does not count any
+    /// more, nor do those before it, and reports of them that still arrive are ignored.
+    pub fn record_removal(&mut self, crash: Crash) {
+        self.set_removed(crash);
+        let record = self.records.get(&crash.fingerprint);
+        let known = record.and_then(|r| r.crashes.iter().find(|c| c.attempt == crash.attempt));
+        if let Some(at) = known.map(|c| c.at) {
+            self.refute(crash.fingerprint, at + MAX_REPORT_DELAY);
         }
     }
 }
--- a/stoatjunction_core/tests/entry_poison.rs
+++ b/stoatjunction_core/tests/entry_poison.rs
@@ -211,6 +211,25 @@
     assert!(known.unstored(true, after(9)).is_empty());
 }
 
+#[test]
+fn a_crash_that_an_operator_removes_from_the_store_counts_at_no_host() {
+    let mut hosts = [after_crashes(3), PoisonRequests::default()];
+    let reports = all_reports(&hosts[0], NOW);
+    merge_all(&mut hosts[1], &reports, NOW + Span::from_millis(5));
+
+    for attempt in 0..3 {
+        hosts[0].record_removal(crash(attempt));
+    }
+    let reports = all_reports(&hosts[1], after(1));
+    merge_all(&mut hosts[0], &reports, after(1));
+    let reports = all_reports(&hosts[0], after(1));
+    merge_all(&mut hosts[1], &reports, after(1));
+
+    for host in &hosts {
+        assert_eq!(host.crash_count(FINGERPRINT), 0);
+    }
+}
+
 #[parameterized(
     recent = { 5, true },
     an_hour_old = { 3_600, true },
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -263,7 +263,7 @@
             }
             Change::CrashRemoved(crash) => {
                 let mut state = cx.state.borrow_mut();
-                state.poison_requests.set_removed(crash);
+                state.poison_requests.record_removal(crash);
             }
         }
     }
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -72,6 +72,15 @@
     }
 }
 
+/// A crash of the upstream under a request.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// Time of the crash.
+    pub at: Instant,
+    /// Request line.
+    pub line: String,
+}
+
 #[derive(Debug, Default)]
 struct State {
     script: VecDeque<Reply>,
@@ -80,7 +89,7 @@
     connections: usize,
     open: usize,
     poison: Option<Poison>,
-    crashes: usize,
+    crashes: Vec<Crash>,
 }
 
 /// A running scripted upstream.
@@ -183,9 +192,14 @@
         self.lock().poison = Some(Poison { marker, mode });
     }
 
-    /// Returns the number of crashes so far.
-    pub fn crashes(&self) -> usize {
-        self.lock().crashes
+    /// Returns the crashes so far, the oldest first.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.lock().crashes.clone()
+    }
+
+    /// Returns whether the upstream has crashed and was not started again.
+    pub fn is_crashed(&self) -> bool {
+        *self.status.borrow() != Status::Up
     }
 
     /// Starts the upstream again after a crash, at the same address.
@@ -249,7 +263,10 @@
             // Lets the sender read the beginning before the connection is reset.
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
-        self.lock().crashes += 1;
+        self.lock().crashes.push(Crash {
+            at: Instant::now(),
+            line: req.line,
+        });
         self.status.send_replace(mode.status());
         std::future::pending().await
     }
