--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -139,6 +139,37 @@
     assert!(matches!(decision, Decision::Place(_)), "{decision:?}");
 }
 
+#[parameterized(
+    all_of_two = { 2, 0 },
+    the_last_that_does_not_drain = { 2, 1 },
+)]
+fn calls_that_run_once_are_not_refused_for_ever_by_half_open_upstreams(
+    upstreams: usize,
+    draining: usize,
+) {
+    let mut listed = listed(upstreams, 8);
+    for l in &mut listed[..draining] {
+        l.draining = true;
+    }
+    let mut pool = Pool::new("here", 1);
+    pool.set_upstreams(listed.iter(), START);
+    let keys: Vec<UpstreamKey> = pool.upstreams().map(|(key, _)| key).collect();
+    for key in &keys {
+        for _ in 0..4 {
+            pool.record_outcome(*key, RunOutcome::Shed, START);
+        }
+    }
+    let after = START + Span::from_millis(10_000);
+    let mut request = PlacementRequest {
+        idempotent: false,
+        ..request(0, after, 1)
+    };
+
+    let decision = pool.decide(&mut request, after);
+
+    assert!(matches!(decision, Decision::Place(_)), "{decision:?}");
+}
+
 #[test]
 fn the_same_id_with_another_start_time_is_another_upstream() {
     let mut pool = pool(1, 2, 1);
