Follow a store that comes back from an older copy

A host held the entries of upstreams under their old, higher revisions and ignored what was written afterwards: an upstream that announced to leave went on getting requests.

An upstream of the copy with the same start that is known as draining, or was removed, stays draining until it writes itself.

--- a/stoatjunction_core/src/entry/upstream_list.rs
+++ b/stoatjunction_core/src/entry/upstream_list.rs
@@ -1,5 +1,9 @@
 //! Replica of the platform's list of upstreams. Changes arrive from the platform and from other
 //! hosts in any order; a change never replaces one with a higher revision.
+//!
+//! The platform may come back from an older copy of its data. Its revisions go back then, but its era
+//! rises, which is the upper part of a revision here. Until upstreams have written their entries again,
+//! the copy may list those as ready that have announced to leave meanwhile.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -11,6 +15,20 @@
 /// the entry.
 const TOMBSTONE_TTL: Span = Span::from_millis(60_000);
 
+/// Bits of a revision below its era.
+const ERA_SHIFT: u32 = 40;
+
+/// Returns the revision with this number in an era of the platform's data, which is higher than all of
+/// earlier eras.
+pub fn revision_in_era(era: u64, number: u64) -> u64 {
+    (era << ERA_SHIFT) | (number & ((1 << ERA_SHIFT) - 1))
+}
+
+/// Splits a revision into its era and its number there.
+pub fn split_revision(revision: u64) -> (u64, u64) {
+    (revision >> ERA_SHIFT, revision & ((1 << ERA_SHIFT) - 1))
+}
+
 /// Upstream as listed by the platform.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedUpstream {
@@ -41,12 +59,20 @@
     pub listed: Option<ListedUpstream>,
 }
 
+/// A removed entry.
+#[derive(Clone, Copy, Debug)]
+struct Tombstone {
+    revision: u64,
+    removed_at: Time,
+    /// Start time of the upstream that was listed.
+    born: Option<u64>,
+}
+
 /// Entries of the list by name.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamList {
     entries: IndexMap<String, UpstreamEntry>,
-    /// Tombstones: revision and time of the removal.
-    tombstones: IndexMap<String, (u64, Time)>,
+    tombstones: IndexMap<String, Tombstone>,
     /// Delayed removals: their revision and the time at which they are applied.
     delayed: IndexMap<String, (u64, Time)>,
     revision: u64,
@@ -86,7 +112,7 @@
     pub fn upsert(&mut self, id: &str, entry: UpstreamEntry) -> bool {
         self.revision = self.revision.max(entry.revision);
         let known = self.entries.get(id).map(|e| e.revision);
-        let removed = self.tombstones.get(id).map(|(r, _)| *r);
+        let removed = self.tombstones.get(id).map(|t| t.revision);
         if known.max(removed).is_some_and(|r| r >= entry.revision) {
             return false;
         }
@@ -109,8 +135,13 @@
             return false;
         }
         self.delayed.shift_remove(id);
-        self.entries.shift_remove(id);
-        self.tombstones.insert(id.to_owned(), (revision, now));
+        let entry = self.entries.shift_remove(id);
+        let tombstone = Tombstone {
+            revision,
+            removed_at: now,
+            born: entry.and_then(|e| e.listed).map(|l| l.born),
+        };
+        self.tombstones.insert(id.to_owned(), tombstone);
         true
     }
 
@@ -118,11 +149,14 @@
     /// changed. Entries that are missing are removed, after `delay` if given.
     pub fn replace(
         &mut self,
-        items: IndexMap<String, UpstreamEntry>,
+        mut items: IndexMap<String, UpstreamEntry>,
         revision: u64,
         delay: Option<Span>,
         now: Time,
     ) -> bool {
+        if split_revision(revision).0 > split_revision(self.revision).0 {
+            self.keep_leaving(&mut items);
+        }
         let missing: Vec<String> = self
             .entries
             .keys()
@@ -140,11 +174,25 @@
         changed
     }
 
+    /// Marks the items of an older copy of the platform's data as draining whose upstreams are known to
+    /// leave or to have left.
+    fn keep_leaving(&self, items: &mut IndexMap<String, UpstreamEntry>) {
+        for (id, item) in items {
+            let Some(listed) = &mut item.listed else {
+                continue;
+            };
+            let known = self.entries.get(id).and_then(|e| e.listed.as_ref());
+            let is_leaving = known.is_some_and(|k| k.draining && k.born == listed.born);
+            let left = self.tombstones.get(id).and_then(|t| t.born);
+            listed.draining |= is_leaving || left == Some(listed.born);
+        }
+    }
+
     /// Applies delayed removals that are due, forgets old tombstones and returns whether the list
     /// changed.
     pub fn apply_due_removals(&mut self, now: Time) -> bool {
         self.tombstones
-            .retain(|_, (_, at)| now.since(*at) < TOMBSTONE_TTL);
+            .retain(|_, t| now.since(t.removed_at) < TOMBSTONE_TTL);
         let due: Vec<(String, u64)> = self
             .delayed
             .iter()
--- a/stoatjunction_core/tests/entry_view.rs
+++ b/stoatjunction_core/tests/entry_view.rs
@@ -2,8 +2,11 @@
 //! of the platform may return.
 
 use indexmap::IndexMap;
-use stoatjunction_core::entry::upstream_list::{ListedUpstream, UpstreamEntry, UpstreamList};
+use stoatjunction_core::entry::upstream_list::{
+    ListedUpstream, UpstreamEntry, UpstreamList, revision_in_era, split_revision,
+};
 use stoatjunction_core::time::{Span, Time};
+use yare::parameterized;
 
 const NOW: Time = Time(1_000_000);
 const REMOVAL_DELAY: Span = Span::from_millis(1_400);
@@ -131,3 +134,51 @@
     second.upsert("a", entry("a", 9, true));
     assert_ne!(first.digest(), second.digest());
 }
+
+#[parameterized(
+    first = { 0, 7 },
+    later = { 3, 7 },
+    largest = { 9, (1 << 40) - 1 },
+)]
+fn a_revision_holds_its_era(era: u64, number: u64) {
+    let revision = revision_in_era(era, number);
+
+    assert_eq!(split_revision(revision), (era, number));
+    assert!(revision < revision_in_era(era + 1, 0));
+}
+
+#[test]
+fn a_copy_of_a_later_era_does_not_make_a_leaving_upstream_ready() {
+    let mut list = UpstreamList::default();
+    for id in ["draining", "gone", "new"] {
+        list.upsert(id, entry(id, 5, id == "draining"));
+    }
+    list.remove("gone", 7, None, NOW);
+    list.remove("new", 7, None, NOW);
+    let copied = |id: &str| {
+        let mut copy = entry(id, revision_in_era(1, 2), false);
+        if id == "new" {
+            copy.listed.as_mut().unwrap().born = 9;
+        }
+        (id.to_owned(), copy)
+    };
+    let copy = ["draining", "gone", "new"].map(copied);
+
+    list.replace(IndexMap::from(copy), revision_in_era(1, 3), None, NOW);
+
+    let ready = list.upstreams().filter(|l| !l.draining);
+    assert_eq!(ready.map(|l| l.id.as_str()).collect::<Vec<_>>(), ["new"]);
+}
+
+#[test]
+fn an_entry_that_is_written_again_after_the_copy_counts() {
+    let mut list = UpstreamList::default();
+    list.upsert("a", entry("a", 900, false));
+    let copy = [("a".to_owned(), entry("a", revision_in_era(1, 2), false))];
+    list.replace(IndexMap::from(copy), revision_in_era(1, 3), None, NOW);
+
+    let changed = list.upsert("a", entry("a", revision_in_era(1, 4), true));
+
+    assert!(changed);
+    assert!(list.upstreams().all(|l| l.draining));
+}
--- a/stoatjunction_standin/src/metadata_store.rs
+++ b/stoatjunction_standin/src/metadata_store.rs
@@ -32,12 +32,20 @@
     Hang,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// A copy of the store's data.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     history: Vec<(u64, String, Value)>,
     compacted_to: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    data: StoreCopy,
+    /// Number of times that the store came back from a copy.
+    era: u64,
     mode: ResponseMode,
     calls: u64,
 }
@@ -95,8 +103,8 @@
     /// Writes an object and returns its revision.
     pub fn put(&self, kind: &str, name: &str, specification: Value) -> u64 {
         let mut state = self.lock();
-        state.revision += 1;
-        let revision = state.revision;
+        state.data.revision += 1;
+        let revision = state.data.revision;
         let object = json!({
             "metadata": {"name": name, "revision": revision, "created": 1, "finalizers": [], "deleting": false},
             "specification": specification,
@@ -104,9 +112,10 @@
         });
         let event = json!({"object": object, "deleted": false});
         state
+            .data
             .objects
             .insert((kind.to_owned(), name.to_owned()), object);
-        state.history.push((revision, kind.to_owned(), event));
+        state.data.history.push((revision, kind.to_owned(), event));
         drop(state);
         self.changed.notify_waiters();
         revision
@@ -115,13 +124,17 @@
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.lock();
-        let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) else {
+        let Some(object) = state
+            .data
+            .objects
+            .remove(&(kind.to_owned(), name.to_owned()))
+        else {
             return;
         };
-        state.revision += 1;
-        let revision = state.revision;
+        state.data.revision += 1;
+        let revision = state.data.revision;
         let event = json!({"object": object, "deleted": true});
-        state.history.push((revision, kind.to_owned(), event));
+        state.data.history.push((revision, kind.to_owned(), event));
         drop(state);
         self.changed.notify_waiters();
     }
@@ -129,8 +142,22 @@
     /// Discards the history. Watches from an earlier revision then receive 410.
     pub fn compact(&self) {
         let mut state = self.lock();
-        state.history.clear();
-        state.compacted_to = state.revision;
+        state.data.history.clear();
+        state.data.compacted_to = state.data.revision;
+    }
+
+    /// Returns a copy of the data.
+    pub fn copy(&self) -> StoreCopy {
+        self.lock().data.clone()
+    }
+
+    /// Comes back from a copy: what was written since is lost, and its revisions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.data = copy;
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -138,6 +165,18 @@
     }
 
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let era = self.lock().era;
+        let mut res = self.respond(req).await;
+        // A watch that waits while the store comes back from a copy is cut off, like its connection.
+        let now = self.lock().era;
+        if era != now {
+            res = status(StatusCode::GONE);
+        }
+        res.headers_mut().insert("store-era", now.into());
+        res
+    }
+
+    async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
         let mode = {
             let mut state = self.lock();
             state.calls += 1;
@@ -194,26 +233,26 @@
     /// Returns an object.
     pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
         let key = (kind.to_owned(), name.to_owned());
-        self.lock().objects.get(&key).cloned()
+        self.lock().data.objects.get(&key).cloned()
     }
 
     /// Returns the names of all objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
-        let of_kind = state.objects.keys().filter(|(k, _)| k == kind);
+        let of_kind = state.data.objects.keys().filter(|(k, _)| k == kind);
         of_kind.map(|(_, name)| name.clone()).collect()
     }
 
     fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
         let state = self.lock();
-        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let of_kind = state.data.objects.iter().filter(|((k, _), _)| k == kind);
         let mut items: Vec<&Value> = of_kind
             .filter(|((_, name), _)| after.is_none_or(|a| name.as_str() > a))
             .map(|(_, object)| object)
             .collect();
         let has_more = items.len() > PAGE_SIZE;
         items.truncate(PAGE_SIZE);
-        ok(&json!({"items": items, "has-more": has_more, "at": state.revision}))
+        ok(&json!({"items": items, "has-more": has_more, "at": state.data.revision}))
     }
 
     async fn watch(&self, kind: &str, since: u64, wait_ms: Option<u64>) -> Response<Body> {
@@ -225,7 +264,7 @@
                 return res;
             }
             if tokio::time::timeout_at(deadline, notified).await.is_err() {
-                let revision = self.lock().revision;
+                let revision = self.lock().data.revision;
                 return ok(&json!({"events": [], "at": revision}));
             }
         }
@@ -234,10 +273,10 @@
     /// Returns the response to a watch, or `None` if it has to wait for an event.
     fn events(&self, kind: &str, since: u64) -> Option<Response<Body>> {
         let state = self.lock();
-        if since < state.compacted_to {
+        if since < state.data.compacted_to || since > state.data.revision {
             return Some(status(StatusCode::GONE));
         }
-        let events = state.history.iter();
+        let events = state.data.history.iter();
         let events: Vec<&Value> = events
             .filter(|(revision, k, _)| *revision > since && k == kind)
             .map(|(_, _, event)| event)
@@ -245,7 +284,7 @@
         if events.is_empty() {
             return None;
         }
-        Some(ok(&json!({"events": events, "at": state.revision})))
+        Some(ok(&json!({"events": events, "at": state.data.revision})))
     }
 }
 
