Wait until a process is stopped before the test goes on

Known red: a claim holder paused past its deadline answered 200 after 3.0 s, in 3 of 20 runs of the file, ten at a time. Traced with wall times: the upstream started the request 7 ms after SIGSTOP was sent and long before SIGCONT, so the gateway ran nothing after it woke. The test was wrong: SIGSTOP is handled when the one thread that it was given to is next scheduled, and on busy cores the others run on until then; the dispatchers, woken right after, granted to a gateway that was not stopped yet.

Ruled out: a run after the wake (no start after SIGCONT); the deadline check (not reached).

Tests that stop a daemon now wait until each of its threads is in state T. The three other tests that stop a daemon wait as well.

--- a/stoatjunction_bench/tests/common/mod.rs
+++ b/stoatjunction_bench/tests/common/mod.rs
@@ -90,6 +90,24 @@
         let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
     }
 
+    /// Stops the process, and returns once none of its threads runs any more. The signal alone takes
+    /// effect when the thread that it was sent to is next scheduled; the others run on until then.
+    pub async fn freeze(&self) {
+        self.send_signal(Signal::SIGSTOP);
+        wait_until("the process is stopped", || async { self.is_stopped() }).await;
+    }
+
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let mut tasks = tasks.expect("process runs").flatten();
+        tasks.all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            // The state follows the name of the thread, which is in parentheses.
+            let state = stat.rsplit(") ").next();
+            state.is_some_and(|s| s.starts_with('T'))
+        })
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/stoatjunction_bench/tests/dispatch_once.rs
+++ b/stoatjunction_bench/tests/dispatch_once.rs
@@ -78,7 +78,7 @@
     // Act
     match fault {
         OwnerFault::Kill => fleet.dispatchers[owner].kill(),
-        OwnerFault::Freeze => fleet.dispatchers[owner].send_signal(Signal::SIGSTOP),
+        OwnerFault::Freeze => fleet.dispatchers[owner].freeze().await,
         OwnerFault::StallLinks => {
             fleet.dispatcher_proxies[owner].set_fault(Fault::FreezeExisting);
             fleet.local_dispatcher_proxies[owner].set_fault(Fault::FreezeExisting);
--- a/stoatjunction_bench/tests/once.rs
+++ b/stoatjunction_bench/tests/once.rs
@@ -24,10 +24,9 @@
         cfg.link.timeout = Duration::from_secs(30);
     })
     .await;
-    fleet
-        .dispatchers
-        .iter()
-        .for_each(|d| d.send_signal(Signal::SIGSTOP));
+    for dispatcher in &fleet.dispatchers {
+        dispatcher.freeze().await;
+    }
     fleet
 }
 
@@ -201,7 +200,7 @@
     wait_for_claim(&fleet).await;
 
     // Act
-    fleet.gateways[0].send_signal(Signal::SIGSTOP);
+    fleet.gateways[0].freeze().await;
     fleet
         .dispatchers
         .iter()
--- a/stoatjunction_bench/tests/partition.rs
+++ b/stoatjunction_bench/tests/partition.rs
@@ -83,7 +83,7 @@
         .await;
 
     // Act
-    fleet.dispatchers[owner].send_signal(Signal::SIGSTOP);
+    fleet.dispatchers[owner].freeze().await;
     let response = fleet.get(1 - owner, &sample_request.request).await;
     fleet.dispatchers[owner].send_signal(Signal::SIGCONT);
 
--- a/stoatjunction_bench/tests/refusals.rs
+++ b/stoatjunction_bench/tests/refusals.rs
@@ -136,7 +136,7 @@
     .await;
 
     // Act
-    fleet.gateways[0].send_signal(Signal::SIGSTOP);
+    fleet.gateways[0].freeze().await;
     wait_until("the engines are idle and the deadline is past", || async {
         tokio::time::sleep(std::time::Duration::from_millis(2_600)).await;
         fleet.active_requests() == 0
