Report readiness once a host has heard another or looked for a second

A host that knows no other counts 16, as it must (a fleet that starts together would else spend the budget once each), and with a sixteenth of the allowance the fourth of six repeats was not allowed. The fault is that callers were sent to it then: it said that it was ready. It now waits until it has heard another host, which takes some tens of milliseconds in a fleet, or has looked for a second.

Ruled out: assuming fewer hosts (the sum over a fleet that starts cut off would pass the budget); letting the call wait for the budget.

Single hosts are ready a second after their start, and the platform's tests take so much longer.

--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -31,7 +31,7 @@
 const RECENT_USAGE: Span = Span::from_millis(1_000);
 /// Time after its start for which a host that knows no other assumes that there are
 /// [`ASSUMED_HOSTS`].
-const DISCOVERY_TIME: Span = Span::from_millis(1_000);
+pub const DISCOVERY_TIME: Span = Span::from_millis(1_000);
 /// Number of hosts assumed by a host that has just started and knows no other.
 const ASSUMED_HOSTS: usize = 16;
 /// Time after its start in which a host doesn't report its bucket levels, and in which its initial
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -180,9 +180,12 @@
     }
 }
 
+/// Returns whether this host can serve callers well. One that does not know yet whether there are
+/// others has to assume many, and uses a small part of the limits and of the retry budget.
 fn is_ready(cx: &Context) -> bool {
     let state = cx.state.borrow();
-    state.phase == Phase::Serving && state.routes.is_some() && state.has_list
+    let knows_state = state.routes.is_some() && state.has_list;
+    state.phase == Phase::Serving && knows_state && state.has_discovered_hosts(clock::now())
 }
 
 fn readiness_response(ready: bool) -> Response<Body> {
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -331,6 +331,11 @@
         rate_limiter::reachable_hosts(now.since(self.started), reachable, self.peers.len() + 1)
     }
 
+    /// Returns whether this host knows others, or has been looking for long enough to be the only one.
+    pub(crate) fn has_discovered_hosts(&self, now: Time) -> bool {
+        !self.peers.is_empty() || now.since(self.started) >= rate_limiter::DISCOVERY_TIME
+    }
+
     /// Records a host that sent a heartbeat or was reported by a relay.
     pub(crate) fn record_peer(&mut self, ip: IpAddr, peer: Peer) {
         let boot = peer.boot;
