Give a reused arena slot another key

Seen by reading: the slot of a removed upstream was free for the next one at once, so that runs still under way on the removed one were booked on its successor: their ends made it look emptier than it was (0 runs counted where 1 ran) and counted against its health, and their prompts and times went to it.

A key now holds how often its slot was reused, and finds nothing once its value is gone. the_ends_of_runs_on_a_removed_upstream_do_not_count_for_its_successor: red before (0 in place of 1), green; the older test of the same moment could not see it. All tests of the core are green. A flag that was written and never read is gone as well.

--- a/stoatjunction_core/src/arena.rs
+++ b/stoatjunction_core/src/arena.rs
@@ -1,20 +1,35 @@
-//! A growable arena with small `Copy` keys, which reuses freed slots.
+//! A growable arena with small `Copy` keys, which reuses freed slots under new keys.
 
 use std::marker::PhantomData;
 
-/// A typed index into an [`Arena`].
+/// Bits of a key that hold the index of its slot; the others count how often the slot was reused.
+const INDEX_BITS: u32 = 20;
+
+/// A typed key of an [`Arena`].
 pub trait Key: Copy {
-    /// Returns the key of the slot at `index`.
-    fn from_index(index: usize) -> Self;
+    /// Returns the key with this number.
+    fn from_number(number: u32) -> Self;
+
+    /// Returns the number of the key.
+    fn number(self) -> u32;
+}
+
+fn index_of(number: u32) -> usize {
+    (number & ((1 << INDEX_BITS) - 1)) as usize
+}
 
-    /// Returns the index of the slot.
-    fn index(self) -> usize;
+/// A value, or none, and the number of the key that it has or that the next one gets.
+#[derive(Clone, Debug)]
+struct Slot<V> {
+    number: u32,
+    value: Option<V>,
 }
 
-/// Values of type `V` addressed by keys of type `K`.
+/// Values of type `V` addressed by keys of type `K`. The key of a removed value finds nothing, until
+/// its slot has been reused some thousand times.
 #[derive(Clone, Debug)]
 pub struct Arena<K, V> {
-    slots: Vec<Option<V>>,
+    slots: Vec<Slot<V>>,
     free: Vec<usize>,
     keys: PhantomData<K>,
 }
@@ -35,45 +50,58 @@
 {
     /// Inserts `value` and returns its key.
     pub fn insert(&mut self, value: V) -> K {
-        if let Some(index) = self.free.pop() {
-            self.slots[index] = Some(value);
-            return K::from_index(index);
-        }
-        self.slots.push(Some(value));
-        K::from_index(self.slots.len() - 1)
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(Slot {
+                number: self.slots.len() as u32,
+                value: None,
+            });
+            self.slots.len() - 1
+        });
+        let slot = &mut self.slots[index];
+        slot.value = Some(value);
+        K::from_number(slot.number)
     }
 
-    /// Removes and returns the value of `key`. A later insertion may reuse the key.
+    /// Removes and returns the value of `key`.
     pub fn remove(&mut self, key: K) -> Option<V> {
-        let value = self.slots.get_mut(key.index())?.take()?;
-        self.free.push(key.index());
+        let index = index_of(key.number());
+        let slot = self.slots.get_mut(index)?;
+        if slot.number != key.number() {
+            return None;
+        }
+        let value = slot.value.take()?;
+        slot.number = slot.number.wrapping_add(1 << INDEX_BITS);
+        self.free.push(index);
         Some(value)
     }
 
     /// Returns the value of `key`, if present.
     pub fn get(&self, key: K) -> Option<&V> {
-        self.slots.get(key.index())?.as_ref()
+        let slot = self.slots.get(index_of(key.number()))?;
+        let slot = (slot.number == key.number()).then_some(slot);
+        slot?.value.as_ref()
     }
 
     /// Returns the value of `key` for modification, if present.
     pub fn get_mut(&mut self, key: K) -> Option<&mut V> {
-        self.slots.get_mut(key.index())?.as_mut()
+        let slot = self.slots.get_mut(index_of(key.number()))?;
+        let slot = (slot.number == key.number()).then_some(slot);
+        slot?.value.as_mut()
     }
 
     /// Iterates over keys and values in the order of their slots.
     pub fn iter(&self) -> impl Iterator<Item = (K, &V)> {
-        self.slots
-            .iter()
-            .enumerate()
-            .filter_map(|(i, v)| v.as_ref().map(|v| (K::from_index(i), v)))
+        let slots = self.slots.iter();
+        slots.filter_map(|s| s.value.as_ref().map(|v| (K::from_number(s.number), v)))
     }
 
     /// Iterates over keys and mutable values in the order of their slots.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut V)> {
-        self.slots
-            .iter_mut()
-            .enumerate()
-            .filter_map(|(i, v)| v.as_mut().map(|v| (K::from_index(i), v)))
+        let slots = self.slots.iter_mut();
+        slots.filter_map(|s| {
+            let number = s.number;
+            s.value.as_mut().map(|v| (K::from_number(number), v))
+        })
     }
 
     /// Returns the number of values.
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -26,12 +26,12 @@
 pub struct UpstreamKey(pub u32);
 
 impl Key for UpstreamKey {
-    fn from_index(index: usize) -> Self {
-        UpstreamKey(index as u32)
+    fn from_number(number: u32) -> Self {
+        UpstreamKey(number)
     }
 
-    fn index(self) -> usize {
-        self.0 as usize
+    fn number(self) -> u32 {
+        self.0
     }
 }
 
@@ -40,12 +40,12 @@
 pub struct RunKey(u32);
 
 impl Key for RunKey {
-    fn from_index(index: usize) -> Self {
-        RunKey(index as u32)
+    fn from_number(number: u32) -> Self {
+        RunKey(number)
     }
 
-    fn index(self) -> usize {
-        self.0 as usize
+    fn number(self) -> u32 {
+        self.0
     }
 }
 
--- a/stoatjunction_core/src/id.rs
+++ b/stoatjunction_core/src/id.rs
@@ -78,11 +78,11 @@
 pub struct UpstreamKey(pub u32);
 
 impl Key for UpstreamKey {
-    fn from_index(index: usize) -> Self {
-        UpstreamKey(index as u32)
+    fn from_number(number: u32) -> Self {
+        UpstreamKey(number)
     }
 
-    fn index(self) -> usize {
-        self.0 as usize
+    fn number(self) -> u32 {
+        self.0
     }
 }
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -185,6 +185,25 @@
     assert!(!upstream.is_circuit_open(START));
 }
 
+#[test]
+fn the_ends_of_runs_on_a_removed_upstream_do_not_count_for_its_successor() {
+    let mut pool = pool(1, 4, 1);
+    let runs = [(); 4].map(|()| pool.start_run(UpstreamKey(0), &[], START));
+    let mut list = listed(1, 4);
+    list[0].born = 2;
+    pool.set_upstreams(list.iter(), START);
+    let (key, _) = pool.upstreams().next().unwrap();
+    pool.start_run(key, &[], START);
+
+    for run in runs {
+        pool.end_run(run, Some(RunOutcome::Broken), START);
+    }
+
+    let upstream = pool.upstream(key).unwrap();
+    assert_eq!(upstream.running(START), 1);
+    assert!(!upstream.is_circuit_open(START));
+}
+
 #[test]
 fn a_request_that_cannot_be_on_time_runs_late_instead_of_being_refused() {
     let mut pool = pool(2, 8, 1);
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -131,7 +131,6 @@
         .pending_updates
         .crashes
         .retain(|(_, remaining)| *remaining > 0);
-    state.pending_updates.changed = false;
     Heartbeat {
         boot: cx.boot,
         dc: cx.settings.dc.clone(),
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -176,8 +176,7 @@
 impl Placement {
     fn new(cx: &Rc<Context>, service: &str, key: UpstreamKey, run: RunKey) -> Placement {
         let target = {
-            let mut state = cx.state.borrow_mut();
-            state.pending_updates.changed = true;
+            let state = cx.state.borrow();
             let scheduler = state.schedulers.get(service);
             let upstream = scheduler.and_then(|s| s.pool.upstream(key));
             upstream.map(|u| UpstreamTarget::new(&u.listed))
@@ -344,7 +343,6 @@
             Some(_) => {}
         }
         self.with_pool(|pool| pool.end_run(self.run, self.outcome, clock::now()));
-        self.cx.state.borrow_mut().pending_updates.changed = true;
         self.cx.gossip_wakeup.notify_one();
         self.cx.decide_waiting();
     }
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -100,7 +100,6 @@
     pub(crate) crashes: Vec<(Crash, u8)>,
     /// Prompt parts with the number of the upstream that they were sent to.
     pub(crate) prompt_parts: Vec<(u32, u64)>,
-    pub(crate) changed: bool,
     /// True when a host has joined or restarted and may not know the others yet.
     pub(crate) has_new_host: bool,
 }
