Take refunded units out of what a relay reports

Seen by reading: units of a request that was never sent were given back to the organisation's own usage and stayed in the sum that a relay reports for its data centre, so that the other data centres of a large fleet charged them and refused callers within their limit. refunded_units_are_reported_neither_directly_nor_by _a_relay: red before (5 in place of 2), green. Receivers keep the highest total, so a refund of units that were already reported counts until as many are used again, as before.

--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -289,8 +289,10 @@
         if let Some(bucket) = self.buckets.get_mut(&organisation) {
             bucket.level = (bucket.level + units as f64).min(bucket.burst * self.share);
         }
-        let usage = self.own.entry(organisation).or_default();
-        usage.total = usage.total.saturating_sub(units);
+        for usage in [&mut self.own, &mut self.nearby] {
+            let usage = usage.entry(organisation).or_default();
+            usage.total = usage.total.saturating_sub(units);
+        }
     }
 
     /// Reports on the limits that this host used recently.
--- a/stoatjunction_core/tests/entry_limits.rs
+++ b/stoatjunction_core/tests/entry_limits.rs
@@ -166,6 +166,22 @@
     assert_eq!(limits.available(ORG), level);
 }
 
+#[test]
+fn refunded_units_are_reported_neither_directly_nor_by_a_relay() {
+    let mut limits = RateLimiter::new(Tolerance::default(), START);
+    limits.set_limit(ORG, RATE, BURST, START);
+    limits.try_acquire(ORG, 5, at(20_000)).unwrap();
+
+    limits.refund(ORG, 3);
+
+    let totals = [
+        limits.own_usage(at(20_100)),
+        limits.nearby_usage(at(20_100)),
+    ]
+    .map(|reports| reports[0].total);
+    assert_eq!(totals, [2, 2]);
+}
+
 #[test]
 fn nearby_usage_includes_direct_reports_and_no_relayed_ones() {
     let mut limits = limiter(Tolerance::default());
