Add metrics to the entry daemon

An on-call engineer had only log lines, which are bounded, and no count of what callers of a host got.

Requests are counted once at their end, by outcome, code, kind, priority and organisation, also when the caller leaves first; besides durations, attempts, ends of runs, retries against the budget, crashes and calls to the store, and the present state (hosts heard, share of limits, version, upstreams, queues). They go through the house library and come out as text on the third internal port.

What it costs in processor time is measured next.

--- a/stoatjunction_core/src/entry/health.rs
+++ b/stoatjunction_core/src/entry/health.rs
@@ -29,6 +29,20 @@
     TimedOut,
 }
 
+impl RunOutcome {
+    /// Returns the name of the outcome in metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            RunOutcome::Success => "success",
+            RunOutcome::Error => "error",
+            RunOutcome::Shed => "shed",
+            RunOutcome::Broken => "broken",
+            RunOutcome::Unreachable => "unreachable",
+            RunOutcome::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// Health of an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
--- a/stoatjunction_core/src/entry/poison_requests.rs
+++ b/stoatjunction_core/src/entry/poison_requests.rs
@@ -179,6 +179,12 @@
         self.crash_count(fingerprint) >= MAX_CRASHES
     }
 
+    /// Returns the number of requests that must not be sent again.
+    pub fn barred_count(&self) -> usize {
+        let records = self.records.values();
+        records.filter(|r| r.crashes.len() >= MAX_CRASHES).count()
+    }
+
     /// Forgets requests that have not come for long.
     pub fn expire(&mut self, now: Time) {
         let obsolete = &mut self.obsolete;
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -19,6 +19,7 @@
 use crate::attempt::UpstreamRequest;
 use crate::clock;
 use crate::event_filter::EventFilter;
+use crate::metrics::{self, RequestLabels};
 use crate::refusal::Refusal;
 use crate::state::Context;
 
@@ -51,6 +52,7 @@
     pub(crate) organisation: Option<u64>,
     pub(crate) units: u64,
     pub(crate) deadline: Time,
+    pub(crate) labels: RequestLabels,
     /// Upstreams that it was sent to, including those that declined it.
     pub(crate) attempts: u32,
     pub(crate) placement_request: PlacementRequest,
@@ -152,6 +154,11 @@
         organisation: organisation_id,
         units,
         deadline,
+        labels: RequestLabels {
+            kind: metrics::kind_label(route.repeat),
+            priority: route.priority.to_string(),
+            organisation: organisation_name.to_owned(),
+        },
         attempts: 0,
         placement_request,
         event_filter: EventFilter::resume_after(number(&names.last_event)),
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -110,6 +110,7 @@
         .is_idempotent()
         .then(|| cx.connections.take_idle(&target.id))
         .flatten();
+    let source = if idle.is_some() { "kept" } else { "opened" };
     let mut connection = match idle {
         Some(idle) => idle,
         None => connection_pool::open(&target.addr).await.map_err(|e| {
@@ -131,6 +132,10 @@
     }
     let req = build_request(request, target, left, &cx.names);
     before_send();
+    cx.metrics.count(
+        "attempts",
+        &[("connection", source), ("service", placement.service())],
+    );
     placement.mark_sent(request.fingerprint);
     placement.set_silence_limit(options.silence_limit);
     let response = connection.sender.try_send_request(req);
--- a/stoatjunction_entry/src/body.rs
+++ b/stoatjunction_entry/src/body.rs
@@ -29,6 +29,11 @@
         Body::Full(Some(content))
     }
 
+    /// Returns whether the body is a stream in progress.
+    pub(crate) fn is_stream(&self) -> bool {
+        matches!(self, Body::Stream(_))
+    }
+
     /// Creates a streamed body and the sender of its chunks.
     pub(crate) fn stream() -> (mpsc::Sender<Result<Bytes, StreamAborted>>, Body) {
         let (tx, rx) = mpsc::channel(BUFFERED_CHUNKS);
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -25,6 +25,7 @@
         state.pending_updates.crashes.push(report);
     }
     drop(state);
+    cx.metrics.count("crashes", &[("end", end)]);
     cx.gossip_wakeup.notify_one();
     cx.crash_wakeup.notify_one();
 }
--- a/stoatjunction_entry/src/crash_writer.rs
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -26,6 +26,10 @@
     loop {
         let _either = tokio::time::timeout(CHECK_INTERVAL, cx.crash_wakeup.notified()).await;
         if let Err(e) = write_all(&cx, &*store).await {
+            cx.metrics.count(
+                "store_calls",
+                &[("topic", "crash_writes"), ("result", "failed")],
+            );
             log::info!("event=crash_write_failed reason=\"{e}\"");
             tokio::time::sleep(RETRY_DELAY).await;
         }
@@ -70,6 +74,10 @@
         return Ok(());
     };
     store.add_crash(crash, age).await?;
+    cx.metrics.count(
+        "store_calls",
+        &[("topic", "crash_writes"), ("result", "answered")],
+    );
     let mut state = cx.state.borrow_mut();
     state.poison_requests.set_stored(crash, true);
     log::info!(
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::gossip;
 use crate::header_names::HeaderNames;
 use crate::ingress;
+use crate::metrics::{self, EntryMetrics};
 use crate::settings::EntrySettings;
 use crate::snapshot;
 use crate::sockets;
@@ -68,7 +69,10 @@
     R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
     let hangup = signal(SignalKind::hangup()).into_diagnostic()?;
-    let cx = Rc::new(Context::new(settings, names));
+    let metrics = EntryMetrics::start()
+        .into_diagnostic()
+        .wrap_err("cannot set up metrics")?;
+    let cx = Rc::new(Context::new(settings, names, metrics));
     let settings = &cx.settings;
     let (callers, ready) = ingress::bind(settings.callers, settings.ready)
         .into_diagnostic()
@@ -77,6 +81,9 @@
     let snapshot_listener = sockets::listen(snapshot_addr)
         .into_diagnostic()
         .wrap_err("cannot listen for other hosts")?;
+    let metrics_listener = sockets::listen(settings.metrics)
+        .into_diagnostic()
+        .wrap_err("cannot listen for readers of the metrics")?;
     log::info!(
         "event=started callers={} dc={}",
         settings.callers,
@@ -86,6 +93,7 @@
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(ingress::accept(cx.clone(), callers, phase)));
     spawn(Box::pin(ingress::serve_readiness(cx.clone(), ready)));
+    spawn(Box::pin(metrics::serve(cx.clone(), metrics_listener)));
     spawn(Box::pin(snapshot::serve(cx.clone(), snapshot_listener)));
     spawn(Box::pin(run_gossip(cx.clone())));
     spawn(Box::pin(tick(cx.clone())));
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -18,6 +18,7 @@
 use crate::attempt::{self, AttemptError, AttemptOptions, UpstreamResponse, UpstreamTarget};
 use crate::body::Body;
 use crate::clock;
+use crate::metrics::{CountedRequest, RequestLabels};
 use crate::placement::Placement;
 use crate::refusal::Refusal;
 use crate::state::{Context, InProgress};
@@ -45,9 +46,20 @@
 pub(crate) async fn handle(cx: Rc<Context>, req: Request<Incoming>) -> Response<Body> {
     let id = req.headers().get(&cx.names.request_id).cloned();
     let arrived = clock::now();
-    match respond(&cx, req, arrived).await {
-        Ok(res) => res,
+    let mut counted = CountedRequest::new(&cx.metrics);
+    match respond(&cx, req, arrived, &mut counted.labels).await {
+        Ok(res) => {
+            let taken = clock::now().since(arrived);
+            cx.metrics
+                .record_duration("head", counted.labels.kind, taken);
+            match res.body().is_stream() {
+                true => counted.leave_to_stream(),
+                false => counted.count("answered", res.status().as_str()),
+            }
+            res
+        }
         Err(refusal) => {
+            counted.count("refused", &refusal.code.number().to_string());
             let shown_id = id.as_ref().and_then(|i| i.to_str().ok());
             log::info!(
                 "event=refused request={} code={} reason={} after_ms={}",
@@ -65,6 +77,7 @@
     cx: &Rc<Context>,
     req: Request<Incoming>,
     arrived: Time,
+    labels: &mut RequestLabels,
 ) -> Result<Response<Body>, Refusal> {
     let routes = cx.state.borrow().routes.clone();
     let Some(routes) = routes else {
@@ -74,6 +87,7 @@
         ));
     };
     let admitted = admit_request(cx, &routes, req, arrived).await?;
+    *labels = admitted.labels.clone();
     let progress = Progress::default();
     let timeout = tokio::time::sleep_until(clock::instant(admitted.deadline));
     let (organisation, units, deadline) =
@@ -122,10 +136,14 @@
     // An upstream's error response, returned when no other upstream gives a better one.
     let mut error: Option<Response<Body>> = None;
     loop {
-        let placement = match cx
+        let queued_at = clock::now();
+        let placed = cx
             .place(&admitted.service, admitted.placement_request.clone())
-            .await
-        {
+            .await;
+        let waited = clock::now().since(queued_at);
+        cx.metrics
+            .record_duration("queue", admitted.labels.kind, waited);
+        let placement = match placed {
             Ok(placement) => placement,
             Err(retry_after) => return error.ok_or_else(|| overloaded(progress, retry_after)),
         };
@@ -244,10 +262,7 @@
         return false;
     }
     let (_, known_hosts) = cx.reachable_hosts();
-    let mut state = cx.state.borrow_mut();
-    state
-        .retry_budget
-        .try_retry(&admitted.service, known_hosts, clock::now())
+    cx.try_retry(&admitted.service, known_hosts)
 }
 
 /// Logs a placement with the load on which it was decided.
@@ -388,6 +403,8 @@
         target_gap: admitted.route.pause,
         deadline: admitted.deadline,
         placement_request: admitted.placement_request.clone(),
+        labels: admitted.labels.clone(),
+        begun_at: clock::now(),
         event_filter: std::mem::take(&mut admitted.event_filter),
         tx,
         _in_progress: InProgress::new(cx),
--- /dev/null
+++ b/stoatjunction_entry/src/metrics.rs
@@ -0,0 +1,274 @@
+//! Metrics of the daemon, in the text form that monitoring tools read.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use indexmap::{IndexMap, IndexSet};
+use stoatjunction_core::entry::config::RouteKind;
+use stoatjunction_core::time::Span;
+use stoatjunction_net::metrics::Metrics;
+use tokio::net::TcpListener;
+
+use crate::body::Body;
+use crate::clock;
+use crate::state::Context;
+
+/// Upper bounds of the buckets of durations, in milliseconds.
+const BUCKETS_MS: [u64; 13] = [
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000,
+];
+/// Organisations that have a label of their own; a fleet may serve tens of thousands.
+const MAX_ORGANISATIONS: usize = 32;
+/// Label of all other organisations.
+const OTHER: &str = "other";
+
+/// What a request is counted under.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) priority: String,
+    pub(crate) organisation: String,
+}
+
+impl Default for RequestLabels {
+    fn default() -> RequestLabels {
+        RequestLabels {
+            kind: "none",
+            priority: "none".to_owned(),
+            organisation: "none".to_owned(),
+        }
+    }
+}
+
+/// Counters and durations since the start of the daemon.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    metrics: Metrics,
+    organisations: RefCell<IndexSet<String>>,
+}
+
+impl EntryMetrics {
+    /// # Errors
+    ///
+    /// An I/O error if the metrics cannot be set up.
+    pub(crate) fn start() -> io::Result<EntryMetrics> {
+        Ok(EntryMetrics {
+            metrics: Metrics::start("entry", None)?,
+            organisations: RefCell::default(),
+        })
+    }
+
+    /// Adds one to a counter.
+    pub(crate) fn count(&self, name: &str, tags: &[(&str, &str)]) {
+        self.metrics.count(name, 1, tags);
+    }
+
+    /// Counts a request that has ended: `outcome` is what its caller got, `code` the status or the
+    /// number of the refusal.
+    pub(crate) fn count_request(&self, labels: &RequestLabels, outcome: &str, code: &str) {
+        let organisation = self.organisation_label(&labels.organisation);
+        let tags = [
+            ("outcome", outcome),
+            ("code", code),
+            ("kind", labels.kind),
+            ("priority", &labels.priority),
+            ("organisation", &organisation),
+        ];
+        self.count("requests", &tags);
+    }
+
+    /// Records a duration of a request of a kind.
+    pub(crate) fn record_duration(&self, name: &str, kind: &str, duration: Span) {
+        let ms = duration.as_millis();
+        let bound = BUCKETS_MS.iter().find(|bound| ms <= **bound);
+        let le = bound.map_or("+Inf".to_owned(), u64::to_string);
+        let bucket = format!("{name}_ms_bucket");
+        self.count(&bucket, &[("kind", kind), ("le", &le)]);
+        let sum = format!("{name}_ms_sum");
+        self.metrics.count(&sum, ms as i64, &[("kind", kind)]);
+    }
+
+    fn organisation_label(&self, name: &str) -> String {
+        let mut known = self.organisations.borrow_mut();
+        let is_known = known.contains(name);
+        if !is_known && known.len() >= MAX_ORGANISATIONS {
+            return OTHER.to_owned();
+        }
+        if !is_known {
+            known.insert(name.to_owned());
+        }
+        name.to_owned()
+    }
+}
+
+/// Counts a request once it has ended, also when its caller leaves before there is a response.
+#[derive(Debug)]
+pub(crate) struct CountedRequest<'a> {
+    metrics: &'a EntryMetrics,
+    pub(crate) labels: RequestLabels,
+    is_counted: bool,
+}
+
+impl<'a> CountedRequest<'a> {
+    pub(crate) fn new(metrics: &'a EntryMetrics) -> CountedRequest<'a> {
+        CountedRequest {
+            metrics,
+            labels: RequestLabels::default(),
+            is_counted: false,
+        }
+    }
+
+    /// Counts the request.
+    pub(crate) fn count(mut self, outcome: &str, code: &str) {
+        self.metrics.count_request(&self.labels, outcome, code);
+        self.is_counted = true;
+    }
+
+    /// Leaves the request to its stream, which counts it at its end.
+    pub(crate) fn leave_to_stream(mut self) {
+        self.is_counted = true;
+    }
+}
+
+impl Drop for CountedRequest<'_> {
+    fn drop(&mut self) {
+        if !self.is_counted {
+            self.metrics
+                .count_request(&self.labels, "caller_left", "none");
+        }
+    }
+}
+
+/// Returns the label of a kind.
+pub(crate) fn kind_label(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Safe => "safe",
+        RouteKind::Once => "once",
+        RouteKind::Stream => "stream",
+        RouteKind::Resumable => "resumable",
+    }
+}
+
+/// Serves the metrics for as long as the daemon runs.
+pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("event=metrics_accept_failed reason={e}");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let cx = cx.clone();
+        let service = service_fn(move |_| {
+            let mut res = Response::new(Body::full(Bytes::from(render(&cx))));
+            let content_type = http::HeaderValue::from_static("text/plain; version=0.0.4");
+            res.headers_mut().insert(CONTENT_TYPE, content_type);
+            async move { Ok::<_, Infallible>(res) }
+        });
+        tokio::task::spawn_local(async move {
+            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = conn.await {
+                log::debug!("event=metrics_connection_failed reason=\"{e}\"");
+            }
+        });
+    }
+}
+
+/// Returns all metrics as text, a line each.
+fn render(cx: &Context) -> String {
+    let mut text = String::new();
+    let totals = cx.metrics.metrics.totals();
+    for (key, value) in cumulate(totals) {
+        let (name, tags) = key.split_once('{').unwrap_or((&key, ""));
+        let name = name.replace('.', "_");
+        let _never_fails = writeln!(text, "{name}{} {value}", labels(tags.trim_end_matches('}')));
+    }
+    for (name, value) in gauges(cx) {
+        let _never_fails = writeln!(text, "stoatjunction_entry_{name} {value}");
+    }
+    text
+}
+
+/// Adds to each bucket of a duration those below it, as readers of the text form expect.
+fn cumulate(totals: IndexMap<String, i64>) -> IndexMap<String, i64> {
+    let mut out = IndexMap::new();
+    for (key, value) in totals {
+        let Some((series, _)) = key.rsplit_once(",le:") else {
+            out.insert(key, value);
+            continue;
+        };
+        let all = BUCKETS_MS.iter().map(u64::to_string);
+        let from = key[series.len() + 4..].trim_end_matches('}').to_owned();
+        let bounds: Vec<String> = all.chain(["+Inf".to_owned()]).collect();
+        let first = bounds.iter().position(|b| *b == from).unwrap_or_default();
+        for bound in &bounds[first..] {
+            *out.entry(format!("{series},le:{bound}}}")).or_default() += value;
+        }
+    }
+    out.sort_keys();
+    out
+}
+
+/// Converts tags `k:v,k:v` to labels.
+fn labels(tags: &str) -> String {
+    if tags.is_empty() {
+        return String::new();
+    }
+    let pairs = tags.split(',').filter_map(|t| t.split_once(':'));
+    let pairs: Vec<String> = pairs.map(|(k, v)| format!("{k}=\"{v}\"")).collect();
+    format!("{{{}}}", pairs.join(","))
+}
+
+/// Returns the present state of the daemon.
+fn gauges(cx: &Context) -> Vec<(String, String)> {
+    let now = clock::now();
+    let state = cx.state.borrow();
+    let (reachable, known) = state.reachable_hosts(now);
+    let draining = state.upstream_list.upstreams().filter(|l| l.draining);
+    let version = state.routes.as_ref().map_or(0, |r| r.cfg().version);
+    let barred = state.poison_requests.barred_count();
+    let mut all = vec![
+        ("hosts_reachable".to_owned(), reachable.to_string()),
+        ("hosts_known".to_owned(), known.to_string()),
+        (
+            "limit_share".to_owned(),
+            state.rate_limiter.share().to_string(),
+        ),
+        ("configuration_version".to_owned(), version.to_string()),
+        (
+            "upstreams_listed".to_owned(),
+            state.upstream_list.upstreams().count().to_string(),
+        ),
+        (
+            "upstreams_draining".to_owned(),
+            draining.count().to_string(),
+        ),
+        (
+            "requests_in_progress".to_owned(),
+            cx.in_progress.get().to_string(),
+        ),
+        ("requests_barred".to_owned(), barred.to_string()),
+    ];
+    for (service, scheduler) in &state.schedulers {
+        let pool = &scheduler.pool;
+        let waiting: u32 = pool.waiting().iter().map(|(_, n)| u32::from(*n)).sum();
+        all.push((
+            format!("waiting{{service=\"{service}\"}}"),
+            waiting.to_string(),
+        ));
+        let free = pool.free_slots(now).to_string();
+        all.push((format!("free_slots{{service=\"{service}\"}}"), free));
+    }
+    all
+}
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -333,6 +333,11 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
+        if self.possible_crash.get().is_some() {
+            let end = self.outcome.map_or("none", RunOutcome::label);
+            let tags = [("service", self.service.as_str()), ("outcome", end)];
+            self.cx.metrics.count("runs_ended", &tags);
+        }
         match self.outcome {
             None => self.check_silence(),
             Some(RunOutcome::Broken) => {
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub snapshot_port: u16,
     /// True when the whole fleet starts for the first time.
     pub first_start: bool,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
     /// Hosts to contact first.
     pub seeds: Vec<IpAddr>,
     /// Budget for retries.
@@ -52,6 +54,7 @@
             heartbeat_port: 8_090,
             snapshot_port: 8_091,
             first_start: false,
+            metrics: SocketAddr::new(loopback, 8_092),
             seeds: Vec::new(),
             retry_budget: RetryBudgetConfig {
                 ratio: 0.2,
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -22,6 +22,7 @@
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::header_names::HeaderNames;
 use crate::heartbeat::UpstreamLoad;
+use crate::metrics::EntryMetrics;
 use crate::placement::ServiceScheduler;
 use crate::settings::EntrySettings;
 
@@ -113,6 +114,7 @@
     pub(crate) boot: u64,
     pub(crate) state: RefCell<SharedState>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) metrics: EntryMetrics,
     /// Wakes the gossip task to send a heartbeat soon.
     pub(crate) gossip_wakeup: Notify,
     /// Wakes the task that stores crashes.
@@ -121,7 +123,11 @@
 }
 
 impl Context {
-    pub(crate) fn new(settings: EntrySettings, names: HeaderNames) -> Context {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        names: HeaderNames,
+        metrics: EntryMetrics,
+    ) -> Context {
         let now = clock::now();
         let first_start = match settings.first_start {
             true => FirstStart::Yes,
@@ -155,6 +161,7 @@
             boot: fastrand::u64(..),
             state: RefCell::new(state),
             connections: ConnectionPool::default(),
+            metrics,
             gossip_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
             in_progress: Cell::new(0),
@@ -251,6 +258,17 @@
         }
     }
 
+    /// Spends a retry for `service`, if the budget allows one.
+    pub(crate) fn try_retry(&self, service: &str, known_hosts: usize) -> bool {
+        let now = clock::now();
+        let budget = &mut self.state.borrow_mut().retry_budget;
+        let allowed = budget.try_retry(service, known_hosts, now);
+        let result = if allowed { "allowed" } else { "denied" };
+        self.metrics
+            .count("retries", &[("service", service), ("result", result)]);
+        allowed
+    }
+
     /// Keeps an idle connection for further requests, up to this host's share of the connections
     /// that the upstream accepts.
     pub(crate) fn keep_connection(
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -44,6 +44,15 @@
 }
 
 impl Topic {
+    /// Returns the name of the topic in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Topic::Configuration => "configuration",
+            Topic::Upstreams => "upstreams",
+            Topic::Crashes => "crashes",
+        }
+    }
+
     /// Longest time that a watch waits for changes; a lost response is detected soon after. Crashes
     /// mostly arrive from other hosts, and each request to the store is billed.
     fn watch_timeout(self) -> Duration {
@@ -154,6 +163,10 @@
 }
 
 fn record_response(cx: &Context, topic: Topic) {
+    cx.metrics.count(
+        "store_calls",
+        &[("topic", topic.label()), ("result", "answered")],
+    );
     set_answered(cx, topic, Some(clock::now()));
 }
 
@@ -194,6 +207,10 @@
 
 fn record_failure(cx: &Context, topic: Topic, e: &StoreError) {
     log::info!("event=store_request_failed topic={topic:?} reason={e}");
+    cx.metrics.count(
+        "store_calls",
+        &[("topic", topic.label()), ("result", "failed")],
+    );
     cx.state.borrow_mut().store_failed_at = Some(clock::now());
     set_answered(cx, topic, None);
 }
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::body::StreamAborted;
 use crate::clock;
 use crate::event_filter::EventFilter;
+use crate::metrics::RequestLabels;
 use crate::placement::Placement;
 use crate::state::{Context, InProgress};
 
@@ -38,6 +39,9 @@
     pub(crate) target_gap: Option<Span>,
     pub(crate) deadline: Time,
     pub(crate) placement_request: PlacementRequest,
+    pub(crate) labels: RequestLabels,
+    /// Time of the response head.
+    pub(crate) begun_at: Time,
     pub(crate) event_filter: EventFilter,
     pub(crate) tx: mpsc::Sender<Result<Bytes, StreamAborted>>,
     /// Held from the response head on, so that a shutdown at that moment waits for the stream.
@@ -69,6 +73,15 @@
         target: UpstreamTarget,
     ) {
         let complete = self.forward(response, placement, target).await;
+        let kind = self.labels.kind;
+        let taken = clock::now().since(self.begun_at);
+        self.cx.metrics.record_duration("stream", kind, taken);
+        let outcome = match (complete, self.tx.is_closed()) {
+            (true, false) => "answered",
+            (true, true) => "caller_left",
+            (false, _) => "cut",
+        };
+        self.cx.metrics.count_request(&self.labels, outcome, "200");
         if !complete {
             let _caller_may_have_left = self.tx.send(Err(StreamAborted)).await;
         }
@@ -291,12 +304,7 @@
             () = self.tx.closed() => return None,
         };
         let (_, known_hosts) = self.cx.reachable_hosts();
-        let mut state = self.cx.state.borrow_mut();
-        let now = clock::now();
-        let allowed = state
-            .retry_budget
-            .try_retry(&self.service, known_hosts, now);
-        drop(state);
+        let allowed = self.cx.try_retry(&self.service, known_hosts);
         allowed.then_some(placement)
     }
 }
