--- a/stoatjunction_entry/src/crash_reports.rs
+++ b/stoatjunction_entry/src/crash_reports.rs
@@ -10,6 +10,7 @@
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
+use crate::heartbeat;
 use crate::relay;
 use crate::state::{Context, SharedState};
 
@@ -73,10 +74,7 @@
     for report in reports {
         if state.poison_requests.merge(report, now) {
             let crashes = state.poison_requests.crash_count(report.fingerprint);
-            log::info!(
-                "event=crash_heard fingerprint={:016x} from={sender} crashes={crashes}",
-                report.fingerprint
-            );
+            heartbeat::log_heard(report.fingerprint, sender, crashes);
         }
     }
 }
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -203,9 +203,7 @@
             .record_peer_crash(crash, Span::ZERO, now)
         {
             let crashes = state.poison_requests.crash_count(*fingerprint);
-            log::info!(
-                "event=crash_heard fingerprint={fingerprint:016x} from={sender} crashes={crashes}"
-            );
+            log_heard(*fingerprint, sender, crashes);
         }
     }
     record_waiting(state, heartbeat.boot, &heartbeat.waiting);
@@ -237,6 +235,19 @@
     cx.decide_waiting();
 }
 
+/// Logs that another host reported a crash. Most requests see a single one, since they ran beside the
+/// one that caused it.
+pub(crate) fn log_heard(fingerprint: u64, sender: IpAddr, crashes: usize) {
+    let level = match crashes {
+        0 | 1 => log::Level::Debug,
+        _ => log::Level::Info,
+    };
+    log::log!(
+        level,
+        "event=crash_heard fingerprint={fingerprint:016x} from={sender} crashes={crashes}"
+    );
+}
+
 fn record_details(cx: &Context, state: &mut SharedState, details: HeartbeatDetails) {
     for ip in details.hosts {
         if ip != cx.settings.ip && !state.peers.contains_key(&ip) {
