Report at once only what makes a request suspect

Read again before the landing: each single crash was news that every host sent to all others at once and every receiver sent on, though the next heartbeats carry it and most requests never see a second. In the moments when many upstreams end together that is a message from each host to each other at the shortest interval. News is now what makes a request suspect or adds to one; single crashes go with the heartbeats and with the repeats each second. only_a_further_crash_of_a_request_is_news is new; the tests of poison requests, of large fleets and of fleets are green twice. The traffic was not measured.

--- a/stoatjunction_core/src/entry/poison_requests.rs
+++ b/stoatjunction_core/src/entry/poison_requests.rs
@@ -13,9 +13,9 @@
 
 /// Number of crashes after which a request is no longer sent.
 pub const MAX_CRASHES: usize = 3;
-/// Number of crashes from which on they are kept in the platform's store. Many requests see one,
-/// since they ran on an upstream that crashed for another reason.
-const MIN_STORED_CRASHES: usize = 2;
+/// Number of crashes that make a request suspect: hosts report it at once, and keep it in the platform's
+/// store. Many requests see one, since they ran on an upstream that crashed for another reason.
+const SUSPECT_CRASHES: usize = 2;
 /// Time after its last crash or refusal in which a request is remembered.
 const RECORD_TTL: Span = Span::from_millis(600_000);
 /// Age from which on a crash is no longer reported, so that hosts whose clocks differ a little do not
@@ -112,7 +112,7 @@
             is_own,
             is_stored: false,
         });
-        self.has_news = true;
+        self.has_news |= record.crashes.len() >= SUSPECT_CRASHES;
         self.evict();
         true
     }
@@ -216,7 +216,7 @@
         }
     }
 
-    /// Returns whether crashes became known since the last call.
+    /// Returns whether a crash of a suspect request became known since the last call.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
     }
@@ -248,7 +248,7 @@
             !c.is_stored && (c.is_own || is_left)
         };
         let suspects = self.records.iter();
-        let suspects = suspects.filter(|(_, r)| r.crashes.len() >= MIN_STORED_CRASHES);
+        let suspects = suspects.filter(|(_, r)| r.crashes.len() >= SUSPECT_CRASHES);
         let crashes = suspects.flat_map(|(fingerprint, r)| {
             r.crashes.iter().filter(due).map(|c| Crash {
                 fingerprint: *fingerprint,
--- a/stoatjunction_core/tests/entry_poison.rs
+++ b/stoatjunction_core/tests/entry_poison.rs
@@ -171,6 +171,18 @@
     assert_eq!(reports[0].fingerprint, FINGERPRINT);
 }
 
+#[test]
+fn only_a_further_crash_of_a_request_is_news() {
+    let mut known = PoisonRequests::default();
+
+    let news = [1, 2, 2, 3].map(|attempt| {
+        known.record_crash(crash(attempt), NOW);
+        known.take_news()
+    });
+
+    assert_eq!(news, [false, true, false, true]);
+}
+
 #[test]
 fn crashes_are_stored_by_the_host_that_saw_them_and_after_a_while_by_others() {
     let seen = after_crashes(2);
