--- a/stoatjunction_core/tests/entry_poison.rs
+++ b/stoatjunction_core/tests/entry_poison.rs
@@ -1,5 +1,6 @@
 //! Poison requests: what bars a request, what is forgotten, and what hosts report to each other.
 
+use proptest::prelude::*;
 use stoatjunction_core::entry::poison_requests::{Crash, CrashReport, MAX_CRASHES, PoisonRequests};
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
@@ -258,3 +259,74 @@
     assert_eq!(known.next_obsolete().is_some(), !barred);
     assert!(known.unstored(true, after(9)).is_empty());
 }
+
+/// What happens in a fleet of hosts that know of one request.
+#[derive(Clone, Debug)]
+enum Step {
+    Crash { host: usize },
+    Clear { host: usize },
+    Report { from: usize, to: usize },
+    Restart { host: usize },
+    Pass { ms: u64 },
+}
+
+const HOSTS: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..HOSTS;
+    prop_oneof![
+        4 => host.clone().prop_map(|host| Step::Crash { host }),
+        1 => host.clone().prop_map(|host| Step::Clear { host }),
+        6 => (host.clone(), host.clone()).prop_map(|(from, to)| Step::Report { from, to }),
+        1 => host.prop_map(|host| Step::Restart { host }),
+        4 => (1_u64..100).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+/// Plays the steps; returns the hosts and the time afterwards.
+fn play(steps: &[Step]) -> (Vec<PoisonRequests>, Time) {
+    let mut hosts = vec![PoisonRequests::default(); HOSTS];
+    let (mut now, mut attempt) = (NOW, 0);
+    for step in steps {
+        match *step {
+            Step::Crash { host } => {
+                attempt += 1;
+                hosts[host].record_crash(crash(attempt), now);
+            }
+            Step::Clear { host } => {
+                hosts[host].clear(FINGERPRINT, now);
+            }
+            Step::Report { from, to } => {
+                let reports = all_reports(&hosts[from], now);
+                merge_all(&mut hosts[to], &reports, now);
+            }
+            Step::Restart { host } => hosts[host] = PoisonRequests::default(),
+            Step::Pass { ms } => now = now + Span::from_millis(ms),
+        }
+    }
+    (hosts, now)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn hosts_agree_once_each_has_heard_all_others(steps in prop::collection::vec(step(), 0..40)) {
+        let (mut hosts, now) = play(&steps);
+        let known: usize = hosts.iter().map(|h| h.crash_count(FINGERPRINT)).max().unwrap();
+
+        for _ in 0..2 {
+            for from in 0..HOSTS {
+                let reports = all_reports(&hosts[from], now);
+                for host in &mut hosts {
+                    merge_all(host, &reports, now);
+                }
+            }
+        }
+
+        let counts: Vec<usize> = hosts.iter().map(|h| h.crash_count(FINGERPRINT)).collect();
+        prop_assert!(counts.iter().all(|c| *c == counts[0]), "{counts:?}");
+        let cleared = steps.iter().any(|s| matches!(s, Step::Clear { .. }));
+        prop_assert!(cleared || counts[0] >= known, "{counts:?}, {known} before");
+    }
+}
