Lead from a barred request to the crashes of its former copies

The refusal 2011 named no fingerprint, and crashes no request: the way from one to the other was missing. Both lines have both now, and explain adds the upstreams that crashed under the same request, on the lines of a real run (stoatjunction/tests/logs/poison.txt).

The recorded lines showed besides that hosts killed 30 ms after the third crash had stored one of three: the writer paused 25 ms between two writes.

--- a/stoatjunction/src/explain.rs
+++ b/stoatjunction/src/explain.rs
@@ -30,7 +30,7 @@
 }
 
 /// Prints the log lines of a request, sorted by time, and a sentence with its outcome and earlier
-/// failures.
+/// failures. Crashes of upstreams under the same request, when it came before, are among them.
 pub fn run(mut args: Arguments) -> Result<(), CommandError> {
     let id = take_positional(&mut args, "ID")?;
     let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
@@ -58,16 +58,52 @@
         .filter_map(LogLine::parse)
         .collect();
     lines.sort_by_key(|l| l.at);
+    let mut summary = summary(id, &lines);
+    let crashes = crashes_before(id, &lines, text);
+    if !crashes.is_empty() {
+        let places: Vec<String> = crashes.iter().map(crash_place).collect();
+        summary.push_str(&format!(
+            " Upstreams that crashed under the same request before: {}.",
+            places.join(", ")
+        ));
+    }
+    lines.extend(crashes);
+    lines.sort_by_key(|l| l.at);
     let mut out = String::new();
     for line in &lines {
         out.push_str(line.text);
         out.push('\n');
     }
-    out.push_str(&summary(id, &lines));
+    out.push_str(&summary);
     out.push('\n');
     out
 }
 
+/// Returns the crashes that other requests with the same fingerprint caused.
+fn crashes_before<'a>(id: &str, lines: &[LogLine<'a>], text: &'a str) -> Vec<LogLine<'a>> {
+    let known = lines
+        .iter()
+        .find_map(|l| field_value(l.text, "fingerprint"));
+    let Some(fingerprint) = known else {
+        return Vec::new();
+    };
+    let crashes = text.lines().filter(|l| {
+        field_value(l, "event") == Some("crash_recorded")
+            && field_value(l, "fingerprint") == Some(fingerprint)
+            && field_value(l, "request") != Some(id)
+    });
+    crashes.filter_map(LogLine::parse).collect()
+}
+
+fn crash_place(crash: &LogLine) -> String {
+    format!(
+        "{} ({}, seen by {})",
+        crash.get("upstream"),
+        crash.get("end"),
+        crash.get("host")
+    )
+}
+
 fn summary(id: &str, lines: &[LogLine]) -> String {
     let Some(last) = lines.last() else {
         return format!("Request {id} is unknown: no log line mentions it.");
--- a/stoatjunction/tests/explain.rs
+++ b/stoatjunction/tests/explain.rs
@@ -6,10 +6,16 @@
 use yare::parameterized;
 
 const LOGS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/day.txt");
+/// A request under which three upstreams end, and its fourth copy.
+const POISON_LOGS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/poison.txt");
 
 fn explain(id: &str) -> String {
+    explain_from(LOGS, id)
+}
+
+fn explain_from(logs: &str, id: &str) -> String {
     let out = Command::new(env!("CARGO_BIN_EXE_stoatjunction"))
-        .args(["explain", id, LOGS])
+        .args(["explain", id, logs])
         .output()
         .expect("command runs");
     assert!(out.status.success());
@@ -30,6 +36,22 @@
     assert!(last.contains(context), "{last}");
 }
 
+#[test]
+fn a_barred_request_is_traced_to_the_crashes_under_its_former_copies() {
+    let text = explain_from(POISON_LOGS, "a3");
+
+    let last = text.lines().last().expect("output has a summary");
+    assert!(
+        last.contains("was refused with code 2011 (barred)"),
+        "{last}"
+    );
+    let crashes = "Upstreams that crashed under the same request before: \
+        u3 (broken, seen by 127.65.0.1), u10 (broken, seen by 127.65.0.1), \
+        u5 (broken, seen by 127.65.0.1).";
+    assert!(last.ends_with(crashes), "{last}");
+    assert_eq!(text.matches("event=crash_recorded").count(), 3);
+}
+
 #[test]
 fn log_lines_are_sorted_by_time() {
     let text = explain("c0925ef86bcd6ba5");
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -176,13 +176,14 @@
 fn check_limits(cx: &Rc<Context>, admitted: &AdmittedRequest) -> Result<LimitStatus, Refusal> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    if state
-        .poison_requests
-        .is_barred(admitted.request.fingerprint)
-    {
-        state
-            .poison_requests
-            .record_refusal(admitted.request.fingerprint, now);
+    let fingerprint = admitted.request.fingerprint;
+    if state.poison_requests.is_barred(fingerprint) {
+        state.poison_requests.record_refusal(fingerprint, now);
+        log::info!(
+            "event=barred request={} fingerprint={fingerprint:016x} crashes={}",
+            admitted.request.id_for_log(),
+            state.poison_requests.crash_count(fingerprint)
+        );
         return Err(Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER));
     }
     let mut status = LimitStatus::Within;
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -136,7 +136,7 @@
         "attempts",
         &[("connection", source), ("service", placement.service())],
     );
-    placement.mark_sent(request.fingerprint);
+    placement.mark_sent(request);
     placement.set_silence_limit(options.silence_limit);
     let response = connection.sender.try_send_request(req);
     let response = wait_for_response(response, options, placement, request, target).await?;
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -11,12 +11,18 @@
 const CRASH_REPORT_COUNT: u8 = 3;
 
 /// Records a crash and has it reported to the other hosts and stored.
-pub(crate) fn record(cx: &Context, crash: Crash, target: &UpstreamTarget, end: &str) {
+pub(crate) fn record(
+    cx: &Context,
+    crash: Crash,
+    target: &UpstreamTarget,
+    request_id: &str,
+    end: &str,
+) {
     let mut state = cx.state.borrow_mut();
     let is_new = state.poison_requests.record_crash(crash, clock::now());
     let crashes = state.poison_requests.crash_count(crash.fingerprint);
     log::info!(
-        "event=crash_recorded fingerprint={:016x} upstream={} end={end} new={is_new} crashes={crashes}",
+        "event=crash_recorded request={request_id} fingerprint={:016x} upstream={} end={end} new={is_new} crashes={crashes}",
         crash.fingerprint,
         target.id
     );
@@ -32,8 +38,13 @@
 
 /// Records a crash if the upstream, which has fallen silent, accepts no connection either. One that
 /// does is slow or hangs, which says nothing about the request.
-pub(crate) async fn check_upstream(cx: &Context, crash: Crash, target: &UpstreamTarget) {
+pub(crate) async fn check_upstream(
+    cx: &Context,
+    crash: Crash,
+    target: &UpstreamTarget,
+    request_id: &str,
+) {
     if connection_pool::open(&target.addr).await.is_err() {
-        record(cx, crash, target, "silent");
+        record(cx, crash, target, request_id, "silent");
     }
 }
--- a/stoatjunction_entry/src/crash_writer.rs
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -15,7 +15,10 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed request.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Pause between requests, since all hosts share the store's rate.
+/// Requests without a pause, enough for what is new about one request: hosts may be killed right after
+/// the crash.
+const REQUEST_BURST: usize = 4;
+/// Pause between further requests, since all hosts share the store's rate.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Writes crashes and removes obsolete ones for as long as the daemon runs.
@@ -46,9 +49,11 @@
         let state = cx.state.borrow();
         state.poison_requests.unstored(for_others, clock::now())
     };
-    for crash in unstored {
+    for (n, crash) in unstored.into_iter().enumerate() {
+        if n >= REQUEST_BURST {
+            tokio::time::sleep(REQUEST_INTERVAL).await;
+        }
         write(cx, store, crash).await?;
-        tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     loop {
         let obsolete = cx.state.borrow().poison_requests.next_obsolete();
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
-use crate::attempt::UpstreamTarget;
+use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::crash;
 use crate::state::Context;
@@ -164,6 +164,8 @@
     /// The crash that it would be if the upstream ended under the request, from the moment at which it
     /// may run that.
     possible_crash: Cell<Option<Crash>>,
+    /// Id of the request for log lines.
+    request_id: RefCell<String>,
     /// Time of the sending or of the last bytes received since.
     heard_at: Cell<Time>,
     /// Silence of the upstream that is suspicious when the run ends without a response.
@@ -189,6 +191,7 @@
             run,
             target,
             possible_crash: Cell::new(None),
+            request_id: RefCell::default(),
             heard_at: Cell::default(),
             silence_limit: Cell::default(),
             silence_check: RefCell::new(None),
@@ -206,11 +209,12 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    pub(crate) fn mark_sent(&self, fingerprint: u64) {
+    pub(crate) fn mark_sent(&self, request: &UpstreamRequest) {
         self.possible_crash.set(Some(Crash {
-            fingerprint,
+            fingerprint: request.fingerprint,
             attempt: fastrand::u64(..),
         }));
+        self.request_id.replace(request.id_for_log().to_owned());
         self.heard_at.set(clock::now());
     }
 
@@ -260,7 +264,8 @@
             return;
         }
         let (cx, target) = (self.cx.clone(), target.clone());
-        let task = async move { crash::check_upstream(&cx, crash, &target).await };
+        let request_id = self.request_id.borrow().clone();
+        let task = async move { crash::check_upstream(&cx, crash, &target, &request_id).await };
         *check = Some(tokio::task::spawn_local(task));
     }
 
@@ -342,7 +347,8 @@
             None => self.check_silence(),
             Some(RunOutcome::Broken) => {
                 if let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) {
-                    crash::record(&self.cx, crash, target, "broken");
+                    let request_id = self.request_id.borrow();
+                    crash::record(&self.cx, crash, target, &request_id, "broken");
                 }
             }
             Some(_) => {}
