Follow a run that nobody waits for until its upstream is heard or found dead

Callers saw nothing; operators would: a request whose callers all leave within the target latency ended one dark upstream after the other, and was never barred, since its ends were not counted.

Cause: the end of a run without an outcome was checked only when the upstream had already been silent for the limit. Ruled out: the check itself, which finds a dark upstream (the cases gone_dark are green). Now the check is made when the silence reaches the limit, unless the upstream is heard before.

Before: three cases of a_request_whose_callers_leave_dark_upstreams_at_once_is_not_sent_again red, after: green; the other 20 tests of poison.rs green. Cost: one connection for each abandoned run whose upstream then stays silent to the host for the limit; not measured yet.

--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Returns when this host last received bytes from an upstream; long ago if it is not listed.
+    fn heard_at(&self, service: &str, key: UpstreamKey) -> Time {
+        let state = self.state.borrow();
+        let scheduler = state.schedulers.get(service);
+        let upstream = scheduler.and_then(|s| s.pool.upstream(key));
+        upstream.map_or(Time::default(), |u| u.heard_at())
+    }
+
     fn try_place(&self, service: &str, mut request: PlacementRequest) -> TryPlaceResult {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
@@ -252,29 +260,43 @@
     /// Starts to find out whether the upstream, which has been silent for long, has crashed. A machine
     /// without power resets no connections.
     pub(crate) fn check_silence(&self) {
+        let silence = clock::now().since(self.upstream_heard_at());
+        if silence >= self.silence_limit.get() {
+            self.spawn_check(Span::ZERO);
+        }
+    }
+
+    /// Starts to find out whether the upstream crashed under a run that nobody waits for any more: it is
+    /// checked unless it sends something before its silence has lasted for the limit.
+    fn check_abandoned(&self) {
+        let silence = clock::now().since(self.upstream_heard_at());
+        self.spawn_check(self.silence_limit.get() - silence);
+    }
+
+    /// Checks the upstream after `delay`, if it has sent nothing by then.
+    fn spawn_check(&self, delay: Span) {
         let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) else {
             return;
         };
-        let silence = clock::now().since(self.upstream_heard_at());
-        if silence < self.silence_limit.get() {
-            return;
-        }
         let mut check = self.silence_check.borrow_mut();
         if check.as_ref().is_some_and(|c| !c.is_finished()) {
             return;
         }
         let (cx, target) = (self.cx.clone(), target.clone());
+        let (service, key) = (self.service.clone(), self.key);
+        let heard_at = self.upstream_heard_at();
         let request_id = self.request_id.borrow().clone();
-        let task = async move { crash::check_upstream(&cx, crash, &target, &request_id).await };
-        *check = Some(tokio::task::spawn_local(task));
+        *check = Some(tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay.into()).await;
+            if cx.heard_at(&service, key) <= heard_at {
+                crash::check_upstream(&cx, crash, &target, &request_id).await;
+            }
+        }));
     }
 
     /// Returns when this run or any other on the upstream last received bytes.
     fn upstream_heard_at(&self) -> Time {
-        let state = self.cx.state.borrow();
-        let scheduler = state.schedulers.get(&self.service);
-        let upstream = scheduler.and_then(|s| s.pool.upstream(self.key));
-        let heard_at = upstream.map_or(Time::default(), |u| u.heard_at());
+        let heard_at = self.cx.heard_at(&self.service, self.key);
         heard_at.max(self.heard_at.get())
     }
 
@@ -344,7 +366,7 @@
             self.cx.metrics.count("runs_ended", &tags);
         }
         match self.outcome {
-            None => self.check_silence(),
+            None => self.check_abandoned(),
             Some(RunOutcome::Broken) => {
                 if let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) {
                     let request_id = self.request_id.borrow();
