--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -88,6 +88,9 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     open: usize,
+    /// Requests a second that the upstream says it takes, as text.
+    named_limit: Option<String>,
+    arrivals: Vec<Instant>,
     poison: Option<Poison>,
     crashes: Vec<Crash>,
 }
@@ -192,6 +195,16 @@
         self.lock().poison = Some(Poison { marker, mode });
     }
 
+    /// Names a limit in requests a second in all responses from now on, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().named_limit = limit.map(str::to_owned);
+    }
+
+    /// Returns when each request arrived, the oldest first.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Returns the crashes so far, the oldest first.
     pub fn crashes(&self) -> Vec<Crash> {
         self.lock().crashes.clone()
@@ -238,6 +251,7 @@
                 let reply = state.script.pop_front().unwrap_or(default);
                 req.ran = !matches!(reply, Reply::NotRun(_));
                 state.received.push(req.clone());
+                state.arrivals.push(Instant::now());
                 reply
             };
             if !self.perform(stream, &req, reply).await? {
@@ -271,6 +285,11 @@
         std::future::pending().await
     }
 
+    fn limit_header(&self) -> String {
+        let limit = self.lock().named_limit.clone();
+        limit.map_or_else(String::new, |l| format!("Server-Limit: {l}\r\n"))
+    }
+
     /// Sends a reply. Returns true if the connection can be reused.
     async fn perform(
         &self,
@@ -279,7 +298,8 @@
         reply: Reply,
     ) -> io::Result<bool> {
         let id = req.header("attempt-id").unwrap_or_default();
-        let stamp = format!("Server-Stamp: {}\r\n", self.id);
+        let limit = self.limit_header();
+        let stamp = format!("Server-Stamp: {}\r\n{limit}", self.id);
         let body = format!("{} {}", self.id, req.body.len());
         let stream_paths = ["/stream/", "/resumed/"];
         let is_stream = stream_paths.iter().any(|p| req.line.contains(p));
@@ -288,8 +308,8 @@
             Reply::Echo | Reply::ByPath => stream.write_all(&frame(200, id, &stamp, &body)).await?,
             Reply::Status(code) => stream.write_all(&frame(code, id, &stamp, &body)).await?,
             Reply::NotRun(code) => {
-                let header = "Not-Executed: 1\r\n";
-                stream.write_all(&frame(code, id, header, "")).await?;
+                let header = format!("Not-Executed: 1\r\n{limit}");
+                stream.write_all(&frame(code, id, &header, "")).await?;
             }
             Reply::NoReceipt => stream.write_all(&frame(200, id, "", &body)).await?,
             Reply::ExtraResponse => {
@@ -326,8 +346,9 @@
     ) -> io::Result<bool> {
         let id = req.header("attempt-id").unwrap_or_default();
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {id}\r\nServer-Stamp: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {id}\r\nServer-Stamp: {}\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+            self.id,
+            self.limit_header()
         );
         stream.write_all(head.as_bytes()).await?;
         let last_received: u64 = req
