Share the limits that upstreams name over all hosts

What users saw: an upstream that names 2.3 requests a second got 36 in 4 s (allowed 19); operators of the upstream would see it as flooded in its need.

Cause: no code read the header, so no sending asked for the limit. Ruled out: a path that forgets to ask, a sum that exceeds what each host keeps to (the arrivals by second did not change at all when the limit was named).

Now each head of a response says what the limit is, or that there is none; hosts repeat that to each other as state, with its age, and charge each other's sendings in the limiter that also serves organisations. The slot of a run is charged, which every sending has: first ones, retries, resumed streams, those that probe. What exceeds the limit goes to another upstream; if there is none in time, it is refused when it arrives, with the time to come back. Other incarnations begin without a limit.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -20,4 +20,5 @@
 pub mod route_table;
 pub mod slot_allocation;
 pub mod upstream;
+pub mod upstream_limits;
 pub mod upstream_list;
--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -28,6 +28,9 @@
 const JITTER_MS: f64 = 2.0;
 /// Jitter for slots allocated to other hosts, whose placements are reported late.
 const UNOWNED_JITTER_MS: f64 = 20.0;
+/// Milliseconds by which an upstream is preferred whose limit may have ended, so that its capacity is
+/// known when it is needed.
+const UNCERTAIN_LIMIT_BONUS_MS: f64 = 50.0;
 /// Factor on the forecasts of an upstream that is still warming up.
 const COLD_START_FACTOR: f64 = 1.7;
 /// Age at which the queue report of another host is ignored.
@@ -145,16 +148,55 @@
         Decision::Wait
     }
 
+    /// Decides on a request that others wait ahead of: it is refused at once if only limits keep it
+    /// waiting and do so for too long.
+    pub fn decide_behind_others(&self, request: &mut PlacementRequest, now: Time) -> Decision {
+        let is_limited = self.usable(now).next().is_none();
+        if is_limited && self.limit_delay(request, now).is_some() {
+            return self.decide_without_upstream(request, 0, now);
+        }
+        Decision::Wait
+    }
+
     fn decide_without_upstream(
         &self,
-        request: &PlacementRequest,
+        request: &mut PlacementRequest,
         untried: u32,
         now: Time,
     ) -> Decision {
         if untried > 0 && now < request.wait_until {
             return Decision::Wait;
         }
-        Decision::Refuse(self.retry_after(now))
+        let Some(delay) = self.limit_delay(request, now) else {
+            return Decision::Refuse(self.retry_after(now));
+        };
+        let sent_at = now + delay;
+        if !request.late && sent_at > request.due_at {
+            request.late = true;
+            request.wait_until = now + request.late_wait;
+        }
+        if sent_at < request.wait_until {
+            return Decision::Wait;
+        }
+        Decision::Refuse(delay.max(self.retry_after(now)))
+    }
+
+    /// Returns the time after which this host may send the request to an upstream that it leaves alone
+    /// now because of its limit, behind those that wait already; `None` if there is no such upstream.
+    fn limit_delay(&self, request: &PlacementRequest, now: Time) -> Option<Span> {
+        let (mut first, mut rate) = (None, 0.0);
+        for (key, upstream) in self.sound(now) {
+            let delay = self.limits.delay(upstream.number, now);
+            if delay.is_none() || request.tried.contains(&key) {
+                continue;
+            }
+            first = first.min(delay).or(delay);
+            rate += self.limits.own_rate(upstream.number);
+        }
+        let precedence = request.precedence();
+        let ahead = self.waiting.iter().filter(|(p, _)| *p <= precedence);
+        let ahead: u32 = ahead.map(|(_, count)| u32::from(*count)).sum();
+        first.map(|first| first + Span::from_secs_f64(f64::from(ahead) / rate))
     }
 
     /// Returns the cost of an upstream in milliseconds beyond its forecast.
@@ -181,7 +223,11 @@
             self.latency.ms_per_token() * f64::from(uncached_tokens) * PREFILL_INTERFERENCE;
         let draw = hash::mix(self.seed ^ u64::from(key.0)) >> 40;
         let draw = draw as f64 / (1_u64 << 24) as f64;
-        batch + remote + unowned + interference + jitter * draw
+        let unheard = match self.limits.is_uncertain(upstream.number, now) {
+            true => UNCERTAIN_LIMIT_BONUS_MS,
+            false => 0.0,
+        };
+        batch + remote + unowned + interference + jitter * draw - unheard
     }
 
     /// Returns whether the request may take one of the free slots. The last ones are reserved for
@@ -248,11 +294,17 @@
             .usable(now)
             .map(|(_, u)| self.queue_delay_ms(u, now))
             .fold(f64::INFINITY, f64::min);
-        let ms = if shortest.is_finite() {
-            shortest
-        } else {
-            self.mean_run_ms
-        };
-        Span::from_secs_f64((ms + self.mean_run_ms) / 1e3)
+        if shortest.is_finite() {
+            return Span::from_secs_f64((shortest + self.mean_run_ms) / 1e3);
+        }
+        // Other hosts send to the upstreams that this one leaves alone.
+        let limits = self
+            .sound(now)
+            .filter_map(|(_, u)| self.limits.rate(u.number));
+        let rate: f64 = limits.sum();
+        if rate > 0.0 {
+            return Span::from_secs_f64(1.0 / rate);
+        }
+        Span::from_secs_f64(2.0 * self.mean_run_ms / 1e3)
     }
 }
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -10,6 +10,7 @@
 use super::prompt_cache::{PromptCacheIndex, PromptPart};
 use super::upstream::upstream_number;
 pub use super::upstream::{Load, Upstream};
+use super::upstream_limits::UpstreamLimits;
 use super::upstream_list::ListedUpstream;
 use crate::arena::{Arena, Key};
 use crate::time::{Span, Time};
@@ -92,6 +93,7 @@
     pub(super) demand: DecayingRate,
     /// Number of hosts to which slots are allocated; 0 when they are not allocated.
     pub(super) slot_sharers: u32,
+    pub(super) limits: UpstreamLimits,
 }
 
 /// Numbers of waiting requests by precedence.
@@ -119,6 +121,7 @@
             peer_waiting: IndexMap::new(),
             demand: DecayingRate::new(DEMAND_WINDOW),
             slot_sharers: 0,
+            limits: UpstreamLimits::new(Time::default()),
         }
     }
 
@@ -206,9 +209,25 @@
         self.usable(now).map(|(_, u)| u.listed.slots).sum()
     }
 
-    /// Iterates over the upstreams that may get runs. While all circuits are open, they are
-    /// ignored: trying an upstream is better than refusing every request.
+    /// Returns the limits that the upstreams name.
+    pub fn limits(&self) -> &UpstreamLimits {
+        &self.limits
+    }
+
+    /// Returns the limits that the upstreams name, to change them.
+    pub fn limits_mut(&mut self) -> &mut UpstreamLimits {
+        &mut self.limits
+    }
+
+    /// Iterates over the upstreams that may get a run now.
     pub(super) fn usable(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let within_limit = move |u: &Upstream| self.limits.delay(u.number, now) == Some(Span::ZERO);
+        self.sound(now).filter(move |(_, u)| within_limit(u))
+    }
+
+    /// Iterates over the upstreams that may get runs, now or within their limits. While all circuits
+    /// are open, they are ignored: trying an upstream is better than refusing every request.
+    pub(super) fn sound(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let is_healthy = move |u: &Upstream| !u.listed.draining && !u.health.is_circuit_open(now);
         let any_healthy = self.upstreams.iter().any(|(_, u)| is_healthy(u));
         self.upstreams
@@ -227,6 +246,7 @@
             had_free_slot = load.running < upstream.listed.slots;
             upstream.own_load.running += 1;
             upstream.own_load.pending_prefill_tokens += uncached_tokens;
+            self.limits.charge(upstream.number, now);
         }
         for part in prompt {
             self.prompt_cache.record(part.id, key, now);
@@ -271,6 +291,18 @@
         self.lowest_slowdown = known.map(|(_, u)| u.slowdown.get()).fold(1.0, f64::min);
     }
 
+    /// Records the end of a run whose request was not sent.
+    pub fn cancel_run(&mut self, run: RunKey, outcome: Option<RunOutcome>, now: Time) {
+        let upstream = self
+            .runs
+            .get(run)
+            .and_then(|r| self.upstreams.get(r.upstream));
+        if let Some(number) = upstream.map(|u| u.number) {
+            self.limits.refund(number);
+        }
+        self.end_run(run, outcome, now);
+    }
+
     /// Records the end of a run.
     pub fn end_run(&mut self, run: RunKey, outcome: Option<RunOutcome>, now: Time) {
         let Some(r) = self.runs.remove(run) else {
@@ -319,6 +351,36 @@
         }
     }
 
+    /// Records what an upstream said at `said_at` of the requests a second that it takes from all hosts
+    /// together, and returns whether that changes its limit. Unknown upstreams are ignored.
+    pub fn record_limit(
+        &mut self,
+        number: u64,
+        rate: Option<f64>,
+        said_at: Time,
+        now: Time,
+    ) -> bool {
+        let key = self.by_number.get(&number);
+        let Some(upstream) = key.and_then(|key| self.upstreams.get(*key)) else {
+            return false;
+        };
+        let dc = &upstream.listed.dc;
+        self.limits.record(number, dc, rate, said_at, now)
+    }
+
+    /// Forgets the limits of upstreams that are gone for long.
+    pub fn expire_limits(&mut self, now: Time) {
+        let by_number = &self.by_number;
+        self.limits.expire(|n| by_number.contains_key(&n), now);
+    }
+
+    /// Returns the id of the upstream with this number, or `-`.
+    pub fn upstream_id(&self, number: u64) -> &str {
+        let upstream = self.by_number.get(&number);
+        let upstream = upstream.and_then(|key| self.upstreams.get(*key));
+        upstream.map_or("-", |u| u.listed.id.as_str())
+    }
+
     /// Records the load that an upstream reported in a response.
     pub fn record_load_report(&mut self, key: UpstreamKey, running: u32, waiting: u32, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -1,5 +1,5 @@
-//! Per-organisation rate limits over all hosts. Each host keeps a token bucket for each
-//! organisation and charges it with its own usage and with what the other hosts report of theirs.
+//! Rate limits over all hosts, those of organisations and those that upstreams name. Each host keeps a
+//! token bucket for each organisation (or upstream, below too) and charges it with its own usage and with what the other hosts report of theirs.
 //! Unreachable hosts keep their share of each limit, so that the parts of a partitioned fleet
 //! together admit no more than the limit.
 
@@ -71,7 +71,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Bucket {
     level: f64,
     rate: f64,
@@ -255,6 +255,20 @@
         units: u64,
         now: Time,
     ) -> Result<LimitStatus, Span> {
+        let status = self.check(organisation, units, now)?;
+        self.charge(organisation, units, now);
+        Ok(status)
+    }
+
+    /// Returns whether `units` could be taken from an organisation's bucket.
+    ///
+    /// # Errors
+    ///
+    /// The time after which there will be enough units, when there are too few.
+    pub fn check(&self, organisation: u64, units: u64, now: Time) -> Result<LimitStatus, Span> {
+        let Some(bucket) = self.buckets.get(&organisation) else {
+            return Ok(LimitStatus::Within);
+        };
         let share = self.share;
         let just_started = now.since(self.started) < NO_TOLERANCE_AFTER_START;
         let max_debt = if just_started {
@@ -262,26 +276,32 @@
         } else {
             self.tolerance.units * share
         };
-        let age = self.mean_report_age(now);
-        let mut status = LimitStatus::Within;
+        let mut bucket = *bucket;
+        bucket.refill(share, now);
+        bucket.decay_others(self.decay);
+        let needed = (units as f64).min(bucket.burst * share);
+        let level = bucket.level - bucket.others_rate * self.mean_report_age(now);
+        if level + max_debt < needed {
+            let wait = (needed - max_debt - level) / (bucket.rate * share);
+            return Err(Span::from_secs_f64(wait).min(MAX_RETRY_AFTER));
+        }
+        Ok(if level < needed {
+            LimitStatus::Beyond
+        } else {
+            LimitStatus::Within
+        })
+    }
+
+    /// Takes `units` from an organisation's bucket, whatever its level.
+    pub fn charge(&mut self, organisation: u64, units: u64, now: Time) {
         if let Some(bucket) = self.buckets.get_mut(&organisation) {
-            bucket.refill(share, now);
+            bucket.refill(self.share, now);
             bucket.decay_others(self.decay);
-            let needed = (units as f64).min(bucket.burst * share);
-            let level = bucket.level - bucket.others_rate * age;
-            if level < needed {
-                status = LimitStatus::Beyond;
-            }
-            if level + max_debt < needed {
-                let wait = (needed - max_debt - level) / (bucket.rate * share);
-                return Err(Span::from_secs_f64(wait).min(MAX_RETRY_AFTER));
-            }
             bucket.level -= units as f64;
         }
         self.own.entry(organisation).or_default().add(units, now);
         let nearby = self.nearby.entry(organisation).or_default();
         nearby.add(units, now);
-        Ok(status)
     }
 
     /// Returns the units of a request that was never sent to an upstream.
@@ -333,7 +353,7 @@
 
     /// Charges the usage that another host reports directly, and adds it to the nearby usage.
     pub fn record_usage(&mut self, reporter: Reporter, reports: &[UsageReport], now: Time) {
-        for (organisation, used) in self.charge(reporter, reports, now) {
+        for (organisation, used) in self.charge_reported(reporter, reports, now) {
             let nearby = self.nearby.entry(organisation).or_default();
             nearby.add(used, now);
         }
@@ -342,13 +362,13 @@
     /// Charges the usage that a host reports on behalf of hosts that don't report to this one
     /// directly.
     pub fn record_relayed_usage(&mut self, reporter: Reporter, reports: &[UsageReport], now: Time) {
-        self.charge(reporter, reports, now);
+        self.charge_reported(reporter, reports, now);
     }
 
     /// Charges reported usage and returns what had not been reported before, by organisation. At a
     /// reporter's first report, a host that has just started lowers its levels to the reported ones
     /// instead.
-    fn charge(
+    fn charge_reported(
         &mut self,
         reporter: Reporter,
         reports: &[UsageReport],
@@ -409,6 +429,14 @@
         }
     }
 
+    /// Removes the limit and all that was used of it, when it will not be set again.
+    pub fn forget(&mut self, organisation: u64) {
+        self.buckets.swap_remove(&organisation);
+        self.own.swap_remove(&organisation);
+        self.nearby.swap_remove(&organisation);
+        self.reported.retain(|(_, o), _| *o != organisation);
+    }
+
     /// Removes a reporter and the totals that it reported.
     pub fn remove_reporter(&mut self, reporter: u64) {
         self.reported.retain(|(r, _), _| *r != reporter);
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -254,6 +254,9 @@
     if let Some((running, waiting)) = parse_load(&head.headers, names) {
         placement.record_load_report(running, waiting);
     }
+    if let Some(limit) = parse_limit(&head, names) {
+        placement.record_limit(limit);
+    }
     let status = head.status;
     if status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_run) {
         log::info!(
@@ -295,6 +298,21 @@
     Some((running, waiting))
 }
 
+/// Parses what the upstream says of its limit: the requests a second, or that it has none. Returns
+/// `None` if the response may be another upstream's, or nobody's.
+fn parse_limit(head: &http::response::Parts, names: &HeaderNames) -> Option<Option<f64>> {
+    let is_upstreams =
+        head.headers.contains_key(&names.receipt) || head.headers.contains_key(&names.not_run);
+    if head.status == StatusCode::MISDIRECTED_REQUEST || !is_upstreams {
+        return None;
+    }
+    let Some(value) = head.headers.get(&names.limit) else {
+        return Some(None);
+    };
+    let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(Some(limit))
+}
+
 /// Parses the idle timeout that the upstream states for the connection; zero when it closes the
 /// connection.
 fn parse_idle_timeout(headers: &HeaderMap) -> Option<Span> {
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -15,6 +15,7 @@
 use crate::clock;
 use crate::crash_reports::{self, CrashReporter};
 use crate::heartbeat::{self, Heartbeat};
+use crate::limit_reports::{self, LimitsMessage};
 use crate::relay::{self, DataCentreSummary, host_number};
 use crate::state::{Context, Peer, SharedState};
 
@@ -47,6 +48,7 @@
     Own(Box<Heartbeat>),
     DataCentre(DataCentreSummary),
     Crashes(Vec<CrashReport>),
+    Limits(LimitsMessage),
 }
 
 /// Sends and receives messages for as long as the daemon runs.
@@ -95,6 +97,9 @@
     let message = HostMessage::Own(Box::new(heartbeat::build(cx, full)));
     let receivers = receivers(cx, full);
     send(cx, socket, &message, &receivers);
+    if let Some(limits) = limit_reports::build_own(cx, full) {
+        send(cx, socket, &HostMessage::Limits(limits), &receivers);
+    }
     receivers.len()
 }
 
@@ -105,9 +110,13 @@
         return;
     }
     let message = HostMessage::DataCentre(relay::summarise(cx, &state));
+    let limits = limit_reports::build_relayed(cx, &state);
     let receivers = relay::receivers(cx, &state);
     drop(state);
     send(cx, socket, &message, &receivers);
+    if let Some(limits) = limits {
+        send(cx, socket, &HostMessage::Limits(limits), &receivers);
+    }
 }
 
 fn send(cx: &Context, socket: &UdpSocket, message: &HostMessage, receivers: &[IpAddr]) {
@@ -150,7 +159,9 @@
     let mut state = cx.state.borrow_mut();
     let (reachable, known) = state.reachable_hosts(now);
     let before = state.rate_limiter.share();
-    state.rate_limiter.set_reachable(reachable, known, now);
+    for limiter in state.rate_limiters() {
+        limiter.set_reachable(reachable, known, now);
+    }
     let share = state.rate_limiter.share();
     if share != before {
         log::info!("event=reachable_hosts heard={reachable} known={known} share={share:.3}");
@@ -163,7 +174,10 @@
     let mut state = cx.state.borrow_mut();
     let state = &mut *state;
     remove_expired_peers(state, now);
-    state.rate_limiter.remove_stale_reporters(now);
+    for limiter in state.rate_limiters() {
+        limiter.remove_stale_reporters(now);
+    }
+    limit_reports::update_hosts(cx, state, now);
     let is_sparse = state.has_many_hosts();
     for scheduler in state.schedulers.values_mut() {
         scheduler.pool.set_sparse_remote_reports(is_sparse);
@@ -178,7 +192,9 @@
     for ip in gone {
         if let Some(peer) = state.peers.swap_remove(&ip) {
             log::info!("event=host_removed host={ip}");
-            state.rate_limiter.remove_reporter(peer.boot);
+            for limiter in state.rate_limiters() {
+                limiter.remove_reporter(peer.boot);
+            }
         }
     }
 }
@@ -259,6 +275,12 @@
                 forward_summary(&cx, &socket, sender.ip(), bytes);
                 relay::receive(&cx, sender.ip(), summary);
             }
+            Ok((HostMessage::Limits(limits), _)) => {
+                if limits.is_relayed() {
+                    forward_summary(&cx, &socket, sender.ip(), bytes);
+                }
+                limit_reports::receive(&cx, sender.ip(), &limits);
+            }
             Ok((HostMessage::Crashes(reports), _)) => {
                 crash_reports::receive(&cx, sender.ip(), &reports);
             }
--- a/stoatjunction_entry/src/header_names.rs
+++ b/stoatjunction_entry/src/header_names.rs
@@ -25,6 +25,8 @@
     pub prompt: HeaderName,
     /// Numbers of running requests, waiting requests and slots of the upstream.
     pub load: HeaderName,
+    /// Requests a second that the upstream takes from all hosts together.
+    pub limit: HeaderName,
     /// Id of the last event that the reader of a stream has received.
     pub last_event: HeaderName,
     /// Headers that callers may not pass on to upstreams.
@@ -44,6 +46,7 @@
             tokens: HeaderName::from_static("x-tokens"),
             prompt: HeaderName::from_static("x-prompt-parts"),
             load: HeaderName::from_static("x-load"),
+            limit: HeaderName::from_static("x-limit"),
             last_event: HeaderName::from_static("last-event-id"),
             reserved: Vec::new(),
         }
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod header_names;
 mod heartbeat;
 mod ingress;
+mod limit_reports;
 mod metrics;
 mod placement;
 mod refusal;
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::crash;
+use crate::limit_reports;
 use crate::state::Context;
 
 /// Multiple of the forecast time to the first event that, added to the target latency, gives the
@@ -65,7 +66,7 @@
             let waiter = self.waiters.swap_remove(&id);
             let unsent = waiter.map_or(Some(result), |tx| tx.send(result).err());
             if let Some(Ok((_, run))) = unsent {
-                self.pool.end_run(run, None, now);
+                self.pool.cancel_run(run, None, now);
             }
         }
     }
@@ -116,18 +117,21 @@
             return TryPlaceResult::Refused(UNKNOWN_SERVICE_RETRY_AFTER);
         };
         scheduler.pool.record_arrival(now);
-        if !scheduler.queue.has_request_ahead_of(&request) {
-            let decision = scheduler.pool.decide(&mut request, now);
-            // `decide` may have marked the request late, which can put others ahead of it.
-            let overtaken = request.late && scheduler.queue.has_request_ahead_of(&request);
-            match decision {
-                _ if overtaken => {}
-                Decision::Wait => {}
-                Decision::Refuse(retry_after) => return TryPlaceResult::Refused(retry_after),
-                Decision::Place(key) => {
-                    let run = scheduler.pool.start_run(key, &request.prompt, now);
-                    return TryPlaceResult::Placed(key, run);
-                }
+        let (pool, queue) = (&mut scheduler.pool, &scheduler.queue);
+        let is_behind = queue.has_request_ahead_of(&request);
+        let decision = match is_behind {
+            true => pool.decide_behind_others(&mut request, now),
+            false => pool.decide(&mut request, now),
+        };
+        // `decide` may have marked the request late, which can put others ahead of it.
+        let overtaken = !is_behind && request.late && queue.has_request_ahead_of(&request);
+        match decision {
+            _ if overtaken => {}
+            Decision::Wait => {}
+            Decision::Refuse(retry_after) => return TryPlaceResult::Refused(retry_after),
+            Decision::Place(key) => {
+                let run = pool.start_run(key, &request.prompt, now);
+                return TryPlaceResult::Placed(key, run);
             }
         }
         let (tx, rx) = oneshot::channel();
@@ -337,6 +341,23 @@
         self.with_pool(|pool| pool.record_load_report(self.key, running, waiting, clock::now()));
     }
 
+    /// Records what the upstream said of its limit in requests a second.
+    pub(crate) fn record_limit(&self, rate: Option<f64>) {
+        let now = clock::now();
+        let mut state = self.cx.state.borrow_mut();
+        let Some(scheduler) = state.schedulers.get_mut(&self.service) else {
+            return;
+        };
+        let pool = &mut scheduler.pool;
+        let Some(number) = pool.upstream(self.key).map(|u| u.number) else {
+            return;
+        };
+        if pool.record_limit(number, rate, now, now) {
+            limit_reports::log_limit(pool.upstream_id(number), rate, None);
+            self.cx.gossip_wakeup.notify_one();
+        }
+    }
+
     /// Records an outcome of the upstream before the end of the run.
     pub(crate) fn record_outcome(&self, outcome: RunOutcome) {
         self.with_pool(|pool| pool.record_outcome(self.key, outcome, clock::now()));
@@ -375,7 +396,11 @@
             }
             Some(_) => {}
         }
-        self.with_pool(|pool| pool.end_run(self.run, self.outcome, clock::now()));
+        let is_sent = self.possible_crash.get().is_some();
+        self.with_pool(|pool| match is_sent {
+            true => pool.end_run(self.run, self.outcome, clock::now()),
+            false => pool.cancel_run(self.run, self.outcome, clock::now()),
+        });
         self.cx.gossip_wakeup.notify_one();
         self.cx.decide_waiting();
     }
--- a/stoatjunction_entry/src/relay.rs
+++ b/stoatjunction_entry/src/relay.rs
@@ -81,6 +81,14 @@
     receivers
 }
 
+/// Returns the number of reachable hosts of this data centre, this one included.
+pub(crate) fn reachable_local_hosts(cx: &Context, state: &SharedState) -> u32 {
+    let now = clock::now();
+    let local_peers = state.peers.values().filter(|p| p.dc == cx.settings.dc);
+    let reachable = local_peers.filter(|p| !state.is_unreachable(p, now));
+    reachable.count() as u32 + 1
+}
+
 /// Sums up this host and the reachable ones of its data centre.
 pub(crate) fn summarise(cx: &Context, state: &SharedState) -> DataCentreSummary {
     let now = clock::now();
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -363,7 +363,9 @@
             }
             Some(before) if before.boot != boot => {
                 self.pending_updates.has_new_host = true;
-                self.rate_limiter.remove_reporter(before.boot);
+                for limiter in self.rate_limiters() {
+                    limiter.remove_reporter(before.boot);
+                }
                 for scheduler in self.schedulers.values_mut() {
                     scheduler.pool.forget_peer(before.boot);
                 }
@@ -372,6 +374,13 @@
         }
     }
 
+    /// Returns the limiters of organisations and of the upstreams of each pool.
+    pub(crate) fn rate_limiters(&mut self) -> impl Iterator<Item = &mut RateLimiter> {
+        let pools = self.schedulers.values_mut();
+        let of_pools = pools.map(|s| s.pool.limits_mut().limiter_mut());
+        std::iter::once(&mut self.rate_limiter).chain(of_pools)
+    }
+
     fn update_pools(&mut self, dc: &str, seed: u64, now: Time) {
         let Some(routes) = self.routes.clone() else {
             return;
