--- a/stoatjunction_core/src/entry/upstream_limits.rs
+++ b/stoatjunction_core/src/entry/upstream_limits.rs
@@ -197,6 +197,7 @@
     pub fn charge(&mut self, upstream: u64, now: Time) {
         if self.is_limited(upstream) {
             self.limiter.charge(upstream, UNITS_PER_REQUEST, now);
+            self.has_news = true;
         }
     }
 
@@ -207,7 +208,7 @@
         }
     }
 
-    /// Returns whether a limit has changed since the last call.
+    /// Returns whether a limit has changed, or was used by this host, since the last call.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
     }
--- a/stoatjunction_core/tests/entry_many_hosts.rs
+++ b/stoatjunction_core/tests/entry_many_hosts.rs
@@ -10,7 +10,9 @@
     DataCentreHosts, Decision, PlacementRequest, Pool, RunKey, UpstreamKey,
 };
 use stoatjunction_core::entry::queue::Queue;
+use stoatjunction_core::entry::rate_limiter::Reporter;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
+use stoatjunction_core::entry::upstream_limits::SendingHost;
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
@@ -76,6 +78,10 @@
     refused: u32,
     /// Total time that requests waited for a slot, in milliseconds.
     waited_ms: u64,
+    /// Upstreams that name a limit, and the limit in requests a second.
+    limited: Vec<(usize, f64)>,
+    /// Requests that each upstream got.
+    received: Vec<u32>,
 }
 
 impl Simulation {
@@ -98,6 +104,8 @@
             overloaded: 0,
             refused: 0,
             waited_ms: 0,
+            limited: Vec::new(),
+            received: vec![0; service.upstreams],
         }
     }
 
@@ -128,15 +136,53 @@
         }
     }
 
+    /// Has upstreams name a limit from now on; all hosts hear of it.
+    fn limit(&mut self, upstreams: &[usize], per_s: f64) {
+        self.limited = upstreams.iter().map(|n| (*n, per_s)).collect();
+        for host in 0..self.service.hosts {
+            let sender = |n: usize| SendingHost {
+                number: n as u64,
+                dc: "here".to_owned(),
+            };
+            let others = (0..self.service.hosts).filter(|n| *n != host).map(sender);
+            let limits = self.hosts[host].0.limits_mut();
+            limits.set_hosts(sender(host), others.collect());
+            for (n, per_s) in &self.limited {
+                let pool = &mut self.hosts[host].0;
+                let key = UpstreamKey(*n as u32);
+                let number = pool.upstream(key).unwrap().number;
+                pool.record_limit(number, Some(*per_s), START, START);
+            }
+        }
+    }
+
+    /// Makes an upstream leave.
+    fn drain(&mut self, upstreams: &[usize]) {
+        let mut list: Vec<ListedUpstream> = (0..self.service.upstreams).map(listed).collect();
+        for n in upstreams {
+            list[*n].draining = true;
+        }
+        for (pool, _) in &mut self.hosts {
+            pool.set_upstreams(list.iter(), START);
+        }
+    }
+
     fn report(&mut self, reporter: usize, now: Time) {
         let pool = &self.hosts[reporter].0;
         let loads: Vec<_> = pool.upstreams().map(|(k, u)| (k, u.own_load())).collect();
         let waiting = pool.waiting().clone();
+        let usage = pool.limits().own_usage(now);
+        let from = Reporter {
+            id: reporter as u64 + 1,
+            hosts: 1,
+            reported_at: now,
+        };
         for host in 0..self.service.hosts {
             if self.receives_from(host, reporter) {
                 let pool = &mut self.hosts[host].0;
                 pool.set_peer_load(reporter as u64, loads.clone(), now);
                 pool.set_peer_waiting(reporter as u64, waiting.clone(), now);
+                pool.limits_mut().record_usage(from, &usage, now);
             }
         }
     }
@@ -166,6 +212,7 @@
             pool.record_first_event(run, now + Span::from_millis(self.service.mean_run_ms / 7));
             let running = &mut self.running[upstream as usize];
             self.sent += 1;
+            self.received[upstream as usize] += 1;
             self.overloaded += u32::from(*running >= SLOTS);
             *running += 1;
             let length = self
@@ -263,3 +310,40 @@
         "{waited_ms} ms for {sent}"
     );
 }
+
+/// An engine service of few hosts.
+const SMALL_ENGINE_SERVICE: Service = Service {
+    hosts: 7,
+    upstreams: 12,
+    mean_run_ms: 900,
+    priorities: 3,
+    max_wait: Span::from_millis(400),
+};
+
+#[parameterized(
+    low_load = { 0.5, SMALL_ENGINE_SERVICE },
+    high_load = { 0.75, SMALL_ENGINE_SERVICE },
+    high_load_at_many_hosts = { 0.75, ENGINE_SERVICE },
+    beyond_capacity = { 1.2, SMALL_ENGINE_SERVICE },
+)]
+fn upstreams_that_name_a_limit_do_no_more_harm_than_missing_ones(load: f64, service: Service) {
+    let limited = [0, 1];
+    let (mut with_limits, mut without) = (Simulation::new(service, 0), Simulation::new(service, 0));
+    with_limits.limit(&limited, 2.3);
+    without.drain(&limited);
+
+    for simulation in [&mut with_limits, &mut without] {
+        simulation.allocate_slots();
+        simulation.run(load, 60, 0..20_000);
+    }
+
+    // The two draw different requests, which may differ by one in a hundred.
+    let draws = without.sent / 100;
+    let (refused, allowed) = (with_limits.refused, without.refused + draws);
+    assert!(refused <= allowed, "{refused} refused, {allowed} allowed");
+    let (sent, least) = (with_limits.sent, without.sent - draws);
+    assert!(sent >= least, "{sent} sent, at least {least} expected");
+    for n in limited {
+        assert!(with_limits.received[n] >= 40, "{}", with_limits.received[n]);
+    }
+}
--- a/stoatjunction_entry/src/limit_reports.rs
+++ b/stoatjunction_entry/src/limit_reports.rs
@@ -25,8 +25,8 @@
     usage: Vec<UsageReport>,
 }
 
-/// Returns this host's own report, unless there is nothing to report. What upstreams said is part of
-/// it when it has changed, and in each `full` report.
+/// Returns this host's own report if it is news, or if the report is a `full` one and there is something
+/// to report at all.
 pub(crate) fn build_own(cx: &Context, full: bool) -> Option<LimitsMessage> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
@@ -34,13 +34,12 @@
     for scheduler in state.schedulers.values_mut() {
         has_news |= scheduler.pool.limits_mut().take_news();
     }
+    if !full && !has_news {
+        return None;
+    }
     let pools = state.schedulers.values().map(|s| &s.pool);
     let usage = pools.flat_map(|p| p.limits().own_usage(now)).collect();
-    let limits = if full || has_news {
-        limit_reports(&state, now)
-    } else {
-        Vec::new()
-    };
+    let limits = limit_reports(&state, now);
     let message = LimitsMessage {
         reporter: cx.boot,
         hosts: 1,
