--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -269,6 +269,11 @@
         ));
         let free = pool.free_slots(now).to_string();
         all.push((format!("free_slots{{service=\"{service}\"}}"), free));
+        let limited = pool.limits().count().to_string();
+        all.push((
+            format!("upstreams_limited{{service=\"{service}\"}}"),
+            limited,
+        ));
     }
     all
 }
