End a limit of an upstream only by an answer to a request that was sent after the last naming

By reading: a head without a limit may be that of a request sent before the upstream named one, and a refusal may lack what answers say. Either would have lifted the limit at all hosts until the next answer.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -299,15 +299,15 @@
 }
 
 /// Parses what the upstream says of its limit: the requests a second, or that it has none. Returns
-/// `None` if the response may be another upstream's, or nobody's.
+/// `None` if the response says nothing, since it may be another upstream's, or only a refusal.
 fn parse_limit(head: &http::response::Parts, names: &HeaderNames) -> Option<Option<f64>> {
-    let is_upstreams =
-        head.headers.contains_key(&names.receipt) || head.headers.contains_key(&names.not_run);
-    if head.status == StatusCode::MISDIRECTED_REQUEST || !is_upstreams {
+    let has_receipt = head.headers.contains_key(&names.receipt);
+    let is_refusal = head.headers.contains_key(&names.not_run);
+    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has_receipt || is_refusal) {
         return None;
     }
     let Some(value) = head.headers.get(&names.limit) else {
-        return Some(None);
+        return has_receipt.then_some(None);
     };
     let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
     (limit.is_finite() && limit >= 0.0).then_some(Some(limit))
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -178,6 +178,7 @@
     possible_crash: Cell<Option<Crash>>,
     /// Id of the request for log lines.
     request_id: RefCell<String>,
+    sent_at: Cell<Time>,
     /// Time of the sending or of the last bytes received since.
     heard_at: Cell<Time>,
     /// Silence of the upstream that is suspicious when the run ends without a response.
@@ -204,6 +205,7 @@
             target,
             possible_crash: Cell::new(None),
             request_id: RefCell::default(),
+            sent_at: Cell::default(),
             heard_at: Cell::default(),
             silence_limit: Cell::default(),
             silence_check: RefCell::new(None),
@@ -227,6 +229,7 @@
             attempt: fastrand::u64(..),
         }));
         self.request_id.replace(request.id_for_log().to_owned());
+        self.sent_at.set(clock::now());
         self.heard_at.set(clock::now());
     }
 
@@ -341,9 +344,11 @@
         self.with_pool(|pool| pool.record_load_report(self.key, running, waiting, clock::now()));
     }
 
-    /// Records what the upstream said of its limit in requests a second.
+    /// Records what the upstream said of its limit in requests a second. That it has none may be as old
+    /// as the request: other responses may have named one since.
     pub(crate) fn record_limit(&self, rate: Option<f64>) {
         let now = clock::now();
+        let said_at = rate.map_or(self.sent_at.get(), |_| now);
         let mut state = self.cx.state.borrow_mut();
         let Some(scheduler) = state.schedulers.get_mut(&self.service) else {
             return;
@@ -352,7 +357,7 @@
         let Some(number) = pool.upstream(self.key).map(|u| u.number) else {
             return;
         };
-        if pool.record_limit(number, rate, now, now) {
+        if pool.record_limit(number, rate, said_at, now) {
             limit_reports::log_limit(pool.upstream_id(number), rate, None);
             self.cx.gossip_wakeup.notify_one();
         }
