Try a failing upstream with one request at a time, also while the sound ones are at their limit

By reading the placement after the limits: with the sound upstream at its limit, a half-open one counted as the only usable and got all requests at once.

--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -102,8 +102,8 @@
         let mut best: Option<(f64, f64, UpstreamKey, bool)> = None;
         let mut untried = 0;
         self.seed = hash::mix(self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15));
-        let usable = self.usable(now).count();
-        let all_half_open = self.usable(now).all(|(_, u)| u.health.is_half_open());
+        let sound = self.sound(now).count();
+        let all_half_open = self.sound(now).all(|(_, u)| u.health.is_half_open());
         for (key, upstream) in self.usable(now) {
             if request.tried.contains(&key) {
                 continue;
@@ -112,7 +112,7 @@
             let may_probe = request.idempotent || all_half_open;
             if upstream.health.is_half_open()
                 && (upstream.own_load.running > 0 || !may_probe)
-                && usable > 1
+                && sound > 1
             {
                 continue;
             }
--- a/stoatjunction_core/tests/entry_upstream_limits.rs
+++ b/stoatjunction_core/tests/entry_upstream_limits.rs
@@ -172,6 +172,21 @@
     assert_eq!((soon.as_str(), later.as_str()), ("free", "limited"));
 }
 
+#[test]
+fn an_upstream_that_fails_does_not_get_all_that_exceeds_the_limit_of_the_sound_one() {
+    let mut pool = limited_pool(Some(1.0));
+    let failing = UpstreamKey(1);
+    for second in 0..8 {
+        let run = pool.start_run(failing, &[], ms(second));
+        pool.end_run(run, Some(RunOutcome::Broken), ms(second));
+    }
+
+    let (limited, failing) = send_all(&mut pool, 20, ms(20_000));
+
+    // One request at a time shows whether it works again.
+    assert_eq!((limited, failing), (1, 1));
+}
+
 #[test]
 fn a_request_that_was_not_sent_is_not_charged() {
     let mut pool = limited_pool(Some(1.0));
