--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -1,7 +1,7 @@
-//! Rate limits over all hosts, those of organisations and those that upstreams name. Each host keeps a
-//! token bucket for each organisation (or upstream, below too) and charges it with its own usage and with what the other hosts report of theirs.
-//! Unreachable hosts keep their share of each limit, so that the parts of a partitioned fleet
-//! together admit no more than the limit.
+//! Rate limits over all hosts: those of organisations, and those that upstreams name. Whose limit it is,
+//! is its subject. Each host keeps a token bucket for each subject and charges it with its own usage and
+//! with what the other hosts report of theirs. Unreachable hosts keep their share of each limit, so that
+//! the parts of a partitioned fleet together admit no more than the limit.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -40,7 +40,7 @@
 /// Longest retry delay that a request over its limit is given.
 const MAX_RETRY_AFTER: Span = Span::from_millis(10_000);
 
-/// Position of a request relative to its organisation's limit.
+/// Position of a request relative to the limit that it is charged to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitStatus {
     /// Within the limit.
@@ -83,11 +83,11 @@
     decay: f64,
 }
 
-/// Usage of one organisation's limit as a host reports it.
+/// Usage of one limit as a host reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct UsageReport {
-    /// The organisation.
-    pub organisation: u64,
+    /// Number of the organisation or of the upstream.
+    pub subject: u64,
     /// Units used since the host started.
     pub total: u64,
     /// The part of `total` that was used recently, for hosts that have received no earlier report.
@@ -143,14 +143,14 @@
     }
 }
 
-/// The token buckets of one host, by organisation.
+/// The token buckets of one host, by subject.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
     buckets: IndexMap<u64, Bucket>,
     own: IndexMap<u64, Usage>,
     /// Usage of this host and of those whose reports it receives directly.
     nearby: IndexMap<u64, Usage>,
-    /// Last reported totals, by reporter and organisation.
+    /// Last reported totals, by reporter and subject.
     reported: IndexMap<(u64, u64), u64>,
     reporters: IndexMap<u64, Reporter>,
     share: f64,
@@ -171,16 +171,16 @@
         }
     }
 
-    /// Sets the rate and burst of an organisation; a rate of zero removes its limit.
-    pub fn set_limit(&mut self, organisation: u64, rate: u64, burst: u64, now: Time) {
+    /// Sets the rate and burst of a limit; a rate of zero removes it.
+    pub fn set_limit(&mut self, subject: u64, rate: u64, burst: u64, now: Time) {
         if rate == 0 {
-            self.buckets.swap_remove(&organisation);
+            self.buckets.swap_remove(&subject);
             return;
         }
         let rate = rate as f64 * (1.0 + self.tolerance.rate);
         let burst = burst.max(1) as f64;
         let share = self.share;
-        let bucket = self.buckets.entry(organisation).or_insert(Bucket {
+        let bucket = self.buckets.entry(subject).or_insert(Bucket {
             level: burst * INITIAL_FILL * share,
             rate,
             burst,
@@ -244,29 +244,29 @@
         self.share
     }
 
-    /// Takes `units` from an organisation's bucket, or from the tolerance beyond it.
+    /// Takes `units` from a bucket, or from the tolerance beyond it.
     ///
     /// # Errors
     ///
     /// The time after which there will be enough units, when there are too few.
     pub fn try_acquire(
         &mut self,
-        organisation: u64,
+        subject: u64,
         units: u64,
         now: Time,
     ) -> Result<LimitStatus, Span> {
-        let status = self.check(organisation, units, now)?;
-        self.charge(organisation, units, now);
+        let status = self.check(subject, units, now)?;
+        self.charge(subject, units, now);
         Ok(status)
     }
 
-    /// Returns whether `units` could be taken from an organisation's bucket.
+    /// Returns whether `units` could be taken from a bucket.
     ///
     /// # Errors
     ///
     /// The time after which there will be enough units, when there are too few.
-    pub fn check(&self, organisation: u64, units: u64, now: Time) -> Result<LimitStatus, Span> {
-        let Some(bucket) = self.buckets.get(&organisation) else {
+    pub fn check(&self, subject: u64, units: u64, now: Time) -> Result<LimitStatus, Span> {
+        let Some(bucket) = self.buckets.get(&subject) else {
             return Ok(LimitStatus::Within);
         };
         let share = self.share;
@@ -292,25 +292,25 @@
         })
     }
 
-    /// Takes `units` from an organisation's bucket, whatever its level.
-    pub fn charge(&mut self, organisation: u64, units: u64, now: Time) {
-        if let Some(bucket) = self.buckets.get_mut(&organisation) {
+    /// Takes `units` from a bucket, whatever its level.
+    pub fn charge(&mut self, subject: u64, units: u64, now: Time) {
+        if let Some(bucket) = self.buckets.get_mut(&subject) {
             bucket.refill(self.share, now);
             bucket.decay_others(self.decay);
             bucket.level -= units as f64;
         }
-        self.own.entry(organisation).or_default().add(units, now);
-        let nearby = self.nearby.entry(organisation).or_default();
+        self.own.entry(subject).or_default().add(units, now);
+        let nearby = self.nearby.entry(subject).or_default();
         nearby.add(units, now);
     }
 
     /// Returns the units of a request that was never sent to an upstream.
-    pub fn refund(&mut self, organisation: u64, units: u64) {
-        if let Some(bucket) = self.buckets.get_mut(&organisation) {
+    pub fn refund(&mut self, subject: u64, units: u64) {
+        if let Some(bucket) = self.buckets.get_mut(&subject) {
             bucket.level = (bucket.level + units as f64).min(bucket.burst * self.share);
         }
         for usage in [&mut self.own, &mut self.nearby] {
-            let usage = usage.entry(organisation).or_default();
+            let usage = usage.entry(subject).or_default();
             usage.total = usage.total.saturating_sub(units);
         }
     }
@@ -332,12 +332,12 @@
         // The initial levels of a host that has just started must not lower those of others that
         // start.
         let has_settled = now.since(self.started) >= STARTUP_TIME;
-        let report = |(organisation, u): (&u64, &Usage)| UsageReport {
-            organisation: *organisation,
+        let report = |(subject, u): (&u64, &Usage)| UsageReport {
+            subject: *subject,
             total: u.total,
             recent: u.total.saturating_sub(u.snapshots.0),
             level: if has_settled {
-                self.available(*organisation)
+                self.available(*subject)
             } else {
                 f32::MAX
             },
@@ -345,16 +345,16 @@
         recent.map(report).collect()
     }
 
-    /// Returns the units left in an organisation's bucket; `f32::MAX` when it has no limit.
-    pub fn available(&self, organisation: u64) -> f32 {
-        let bucket = self.buckets.get(&organisation);
+    /// Returns the units left in a bucket; `f32::MAX` when it has no limit.
+    pub fn available(&self, subject: u64) -> f32 {
+        let bucket = self.buckets.get(&subject);
         bucket.map_or(f32::MAX, |b| b.level as f32)
     }
 
     /// Charges the usage that another host reports directly, and adds it to the nearby usage.
     pub fn record_usage(&mut self, reporter: Reporter, reports: &[UsageReport], now: Time) {
-        for (organisation, used) in self.charge_reported(reporter, reports, now) {
-            let nearby = self.nearby.entry(organisation).or_default();
+        for (subject, used) in self.charge_reported(reporter, reports, now) {
+            let nearby = self.nearby.entry(subject).or_default();
             nearby.add(used, now);
         }
     }
@@ -365,7 +365,7 @@
         self.charge_reported(reporter, reports, now);
     }
 
-    /// Charges reported usage and returns what had not been reported before, by organisation. At a
+    /// Charges reported usage and returns what had not been reported before, by subject. At a
     /// reporter's first report, a host that has just started lowers its levels to the reported ones
     /// instead.
     fn charge_reported(
@@ -389,15 +389,15 @@
         let was_unreachable = previous.is_none() || elapsed >= UNREACHABLE_GAP;
         for r in reports {
             let unreported = if was_unreachable { 0 } else { r.recent };
-            let reported = self.reported.entry((reporter.id, r.organisation));
+            let reported = self.reported.entry((reporter.id, r.subject));
             let known = reported.or_insert(r.total.saturating_sub(unreported));
             if was_unreachable {
                 *known = r.total;
             }
             let used = r.total.saturating_sub(*known);
             *known = (*known).max(r.total);
-            newly_used.push((r.organisation, used));
-            let Some(bucket) = self.buckets.get_mut(&r.organisation) else {
+            newly_used.push((r.subject, used));
+            let Some(bucket) = self.buckets.get_mut(&r.subject) else {
                 continue;
             };
             bucket.refill(self.share, now);
@@ -422,7 +422,7 @@
             return;
         }
         for r in reports {
-            if let Some(bucket) = self.buckets.get_mut(&r.organisation) {
+            if let Some(bucket) = self.buckets.get_mut(&r.subject) {
                 bucket.refill(self.share, now);
                 bucket.level = bucket.level.min(f64::from(r.level));
             }
@@ -430,11 +430,11 @@
     }
 
     /// Removes the limit and all that was used of it, when it will not be set again.
-    pub fn forget(&mut self, organisation: u64) {
-        self.buckets.swap_remove(&organisation);
-        self.own.swap_remove(&organisation);
-        self.nearby.swap_remove(&organisation);
-        self.reported.retain(|(_, o), _| *o != organisation);
+    pub fn forget(&mut self, subject: u64) {
+        self.buckets.swap_remove(&subject);
+        self.own.swap_remove(&subject);
+        self.nearby.swap_remove(&subject);
+        self.reported.retain(|(_, o), _| *o != subject);
     }
 
     /// Removes a reporter and the totals that it reported.
--- a/stoatjunction_core/tests/entry_limits.rs
+++ b/stoatjunction_core/tests/entry_limits.rs
@@ -131,7 +131,7 @@
 
 fn report(total: u64, recent: u64) -> UsageReport {
     UsageReport {
-        organisation: ORG,
+        subject: ORG,
         total,
         recent,
         level: BURST as f32,
--- a/stoatjunction_entry/src/limit_reports.rs
+++ b/stoatjunction_entry/src/limit_reports.rs
@@ -99,7 +99,7 @@
                 log_limit(pool.upstream_id(report.upstream), report.rate, Some(sender));
             }
         }
-        let is_of_pool = |u: &&UsageReport| pool.key_by_number(u.organisation).is_some();
+        let is_of_pool = |u: &&UsageReport| pool.key_by_number(u.subject).is_some();
         let usage: Vec<UsageReport> = message.usage.iter().filter(is_of_pool).copied().collect();
         // A report without usage shows that the host is reachable and used nothing.
         if usage.is_empty() && pool.limits().count() == 0 {
