Consider only limits, not failing upstreams, when a request waits for one

Found by reading the change: since the limits, a request whose wait was over was put among the late ones and waited on while all upstreams were half open and tried by others, in place of being refused. Red first: a_request_whose_wait_is_over_is_refused_while_all_upstreams_are_tried_by_others (Wait); green after.

--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -187,10 +187,11 @@
         let (mut first, mut rate) = (None, 0.0);
         for (key, upstream) in self.sound(now) {
             let delay = self.limits.delay(upstream.number, now);
-            if delay.is_none() || request.tried.contains(&key) {
+            let Some(delay) = delay.filter(|d| *d > Span::ZERO && !request.tried.contains(&key))
+            else {
                 continue;
-            }
-            first = first.min(delay).or(delay);
+            };
+            first = Some(first.map_or(delay, |f: Span| f.min(delay)));
             rate += self.limits.own_rate(upstream.number);
         }
         let precedence = request.precedence();
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -461,3 +461,21 @@
     let served: u32 = outcomes.on_time.iter().chain(&outcomes.late).sum();
     assert!(served >= 250, "{outcomes:?}");
 }
+
+#[test]
+fn a_request_whose_wait_is_over_is_refused_while_all_upstreams_are_tried_by_others() {
+    let mut pool = pool(2, 8, 1);
+    for key in [UpstreamKey(0), UpstreamKey(1)] {
+        for n in 0..8 {
+            let run = pool.start_run(key, &[], ms(n));
+            pool.end_run(run, Some(RunOutcome::Broken), ms(n));
+        }
+        pool.start_run(key, &[], ms(5_000));
+    }
+
+    let mut waiting = request(1, ms(5_000), 1);
+    let now = waiting.wait_until + Span::from_millis(1);
+    let decision = pool.decide(&mut waiting, now);
+
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+}
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -272,12 +272,12 @@
         match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
             Ok((HostMessage::Own(report), _)) => heartbeat::receive(&cx, sender.ip(), *report),
             Ok((HostMessage::DataCentre(summary), _)) => {
-                forward_summary(&cx, &socket, sender.ip(), bytes);
+                forward_relayed(&cx, &socket, sender.ip(), bytes);
                 relay::receive(&cx, sender.ip(), summary);
             }
             Ok((HostMessage::Limits(limits), _)) => {
                 if limits.is_relayed() {
-                    forward_summary(&cx, &socket, sender.ip(), bytes);
+                    forward_relayed(&cx, &socket, sender.ip(), bytes);
                 }
                 limit_reports::receive(&cx, sender.ip(), &limits);
             }
@@ -292,8 +292,9 @@
     }
 }
 
-/// Forwards a summary from another data centre to the hosts of this one, if this host is the relay.
-fn forward_summary(cx: &Context, socket: &UdpSocket, sender: IpAddr, bytes: &[u8]) {
+/// Forwards a relay's message from another data centre to the hosts of this one, if this host is the
+/// relay here.
+fn forward_relayed(cx: &Context, socket: &UdpSocket, sender: IpAddr, bytes: &[u8]) {
     let state = cx.state.borrow();
     let is_local = |p: &Peer| p.dc == cx.settings.dc;
     if state.peers.get(&sender).is_some_and(is_local) || !relay::is_relay(cx, &state) {
