Allocate no slots of upstreams that name a limit to hosts

Cause: slots are allocated to hosts, and a host whose own slots lie at a limited upstream cannot use most of them, but pays for the others', which are reserved. Ruled out: the limits themselves (the upstreams get what they take).

--- a/stoatjunction_core/src/entry/peer_reports.rs
+++ b/stoatjunction_core/src/entry/peer_reports.rs
@@ -65,7 +65,12 @@
                 true => h.reserved_slots,
                 false => h.reserved_of(upstream.listed.slots),
             });
-            upstream.reserved_slots = if is_worth_it { reserved } else { 0 };
+            let is_limited = self.limits.is_limited(upstream.number);
+            upstream.reserved_slots = if is_worth_it && !is_limited {
+                reserved
+            } else {
+                0
+            };
             upstream.owned_slots = None;
         }
         self.slot_sharers = 0;
@@ -81,10 +86,12 @@
         }
     }
 
-    /// Returns the slots of the local upstreams that are not draining.
+    /// Returns the slots of the local upstreams that are not draining. Those of upstreams that name a
+    /// limit are nobody's: most of them stay free.
     fn local_slots(&self) -> Vec<UpstreamSlots> {
         let local = self.upstreams.iter();
         let local = local.filter(|(_, u)| u.listed.dc == self.dc && !u.listed.draining);
+        let local = local.filter(|(_, u)| !self.limits.is_limited(u.number));
         let slots_of = |(key, u): (UpstreamKey, &Upstream)| UpstreamSlots {
             key,
             number: u.number,
--- a/stoatjunction_core/tests/entry_many_hosts.rs
+++ b/stoatjunction_core/tests/entry_many_hosts.rs
@@ -324,6 +324,9 @@
     low_load = { 0.5, SMALL_ENGINE_SERVICE },
     high_load = { 0.75, SMALL_ENGINE_SERVICE },
     high_load_at_many_hosts = { 0.75, ENGINE_SERVICE },
+    higher_load = { 0.85, SMALL_ENGINE_SERVICE },
+    higher_load_at_many_hosts = { 0.85, ENGINE_SERVICE },
+    nearly_at_capacity_at_many_hosts = { 0.92, ENGINE_SERVICE },
     beyond_capacity = { 1.2, SMALL_ENGINE_SERVICE },
 )]
 fn upstreams_that_name_a_limit_do_no_more_harm_than_missing_ones(load: f64, service: Service) {
