Call the mark that an upstream leaves on its answers a signature, as the field does

The users' pages say receipt; outside platform/ the code uses the field's words. Names, one log event (no_signature) and the product's own default header (x-signature) change, no logic.

--- a/stoatjunction/src/explain.rs
+++ b/stoatjunction/src/explain.rs
@@ -138,7 +138,7 @@
     };
     let failures: Vec<String> = lines
         .iter()
-        .filter(|l| ["broken", "unreachable", "not_run", "no_receipt"].contains(&l.get("event")))
+        .filter(|l| ["broken", "unreachable", "not_run", "no_signature"].contains(&l.get("event")))
         .map(|l| format!("{} at {}", l.get("event"), l.get("upstream")))
         .collect();
     let earlier_failures = if failures.is_empty() {
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -269,12 +269,12 @@
             status: status.as_u16(),
         });
     }
-    let has_receipt = head.headers.contains_key(&names.receipt);
+    let has_signature = head.headers.contains_key(&names.signature);
     let encoded = head.headers.get(CONTENT_ENCODING);
     let is_encoded = encoded.is_some_and(|e| e != "identity");
-    if status.is_success() && (!has_receipt || is_encoded) {
+    if status.is_success() && (!has_signature || is_encoded) {
         log::info!(
-            "event=no_receipt request={} upstream={}",
+            "event=no_signature request={} upstream={}",
             request.id_for_log(),
             target.id
         );
@@ -301,13 +301,13 @@
 /// Parses what the upstream says of its limit: the requests a second, or that it has none. Returns
 /// `None` if the response says nothing, since it may be another upstream's, or only a refusal.
 fn parse_limit(head: &http::response::Parts, names: &HeaderNames) -> Option<Option<f64>> {
-    let has_receipt = head.headers.contains_key(&names.receipt);
+    let has_signature = head.headers.contains_key(&names.signature);
     let is_refusal = head.headers.contains_key(&names.not_run);
-    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has_receipt || is_refusal) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has_signature || is_refusal) {
         return None;
     }
     let Some(value) = head.headers.get(&names.limit) else {
-        return has_receipt.then_some(None);
+        return has_signature.then_some(None);
     };
     let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
     (limit.is_finite() && limit >= 0.0).then_some(Some(limit))
--- a/stoatjunction_entry/src/header_names.rs
+++ b/stoatjunction_entry/src/header_names.rs
@@ -16,7 +16,7 @@
     /// Id of the only upstream that may run the request.
     pub expected_upstream: HeaderName,
     /// Proof that a response was made by the upstream.
-    pub receipt: HeaderName,
+    pub signature: HeaderName,
     /// The upstream's statement that it did not run the request.
     pub not_run: HeaderName,
     /// Number of prompt tokens and maximum number of output tokens.
@@ -41,7 +41,7 @@
             key: HeaderName::from_static("x-key"),
             organisation: HeaderName::from_static("x-organisation"),
             expected_upstream: HeaderName::from_static("x-expected-upstream"),
-            receipt: HeaderName::from_static("x-receipt"),
+            signature: HeaderName::from_static("x-signature"),
             not_run: HeaderName::from_static("x-not-started"),
             tokens: HeaderName::from_static("x-tokens"),
             prompt: HeaderName::from_static("x-prompt-parts"),
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -43,8 +43,8 @@
     ExtraResponse,
     /// Like `Echo`, but the body has no length and ends when the connection is closed.
     CloseDelimited,
-    /// Like `Echo`, but without the upstream's receipt.
-    NoReceipt,
+    /// Like `Echo`, but without the upstream's signature.
+    NoSignature,
     /// Sends bytes that are not HTTP and closes the connection.
     Garbage,
     /// Never replies.
@@ -311,7 +311,7 @@
                 let header = format!("Not-Executed: 1\r\n{limit}");
                 stream.write_all(&frame(code, id, &header, "")).await?;
             }
-            Reply::NoReceipt => stream.write_all(&frame(200, id, "", &body)).await?,
+            Reply::NoSignature => stream.write_all(&frame(200, id, "", &body)).await?,
             Reply::ExtraResponse => {
                 stream.write_all(&frame(200, id, &stamp, &body)).await?;
                 let extra = frame(200, "another", &stamp, "not yours");
