Heed upstreams that say they leave or want a pause

Cause: nothing read Server-Leaving, and an upstream's Retry-After was not used. Upstreams went on getting requests until the platform's list said otherwise.

Change: what upstreams say of themselves (load, limit, leaving, pause) is read in one module for each response head, whatever its status, path or kind, and asked right before each first byte, since an upstream may say so while a connection is opened. A pause has no probe. Notices are state that hosts repeat to each other and between data centres; they belong to one start of an upstream, and the list ends none. Hosts come back spread over a tenth of the pause. Values that are no time are logged and left out; pauses are cut to 30 s.

Ruled out: ending an announcement by a newer listing, since a host whose list lags can't tell which of the two is older.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -22,3 +22,4 @@
 pub mod upstream;
 pub mod upstream_limits;
 pub mod upstream_list;
+pub mod upstream_notices;
--- a/stoatjunction_core/src/entry/peer_reports.rs
+++ b/stoatjunction_core/src/entry/peer_reports.rs
@@ -86,11 +86,11 @@
         }
     }
 
-    /// Returns the slots of the local upstreams that are not draining. Those of upstreams that name a
+    /// Returns the slots of the local upstreams that don't leave. Those of upstreams that name a
     /// limit are nobody's: most of them stay free.
     fn local_slots(&self) -> Vec<UpstreamSlots> {
         let local = self.upstreams.iter();
-        let local = local.filter(|(_, u)| u.listed.dc == self.dc && !u.listed.draining);
+        let local = local.filter(|(_, u)| u.listed.dc == self.dc && !self.is_leaving(u));
         let local = local.filter(|(_, u)| !self.limits.is_limited(u.number));
         let slots_of = |(key, u): (UpstreamKey, &Upstream)| UpstreamSlots {
             key,
--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -182,11 +182,11 @@
     }
 
     /// Returns the time after which this host may send the request to an upstream that it leaves alone
-    /// now because of its limit, behind those that wait already; `None` if there is no such upstream.
+    /// now because of its limit or its pause, behind those that wait already; `None` if there is no such upstream.
     fn limit_delay(&self, request: &PlacementRequest, now: Time) -> Option<Span> {
         let (mut first, mut rate) = (None, 0.0);
         for (key, upstream) in self.sound(now) {
-            let delay = self.limits.delay(upstream.number, now);
+            let delay = self.delay(upstream, now);
             let Some(delay) = delay.filter(|d| *d > Span::ZERO && !request.tried.contains(&key))
             else {
                 continue;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -12,6 +12,7 @@
 pub use super::upstream::{Load, Upstream};
 use super::upstream_limits::UpstreamLimits;
 use super::upstream_list::ListedUpstream;
+use super::upstream_notices::{Statement, UpstreamNotices};
 use crate::arena::{Arena, Key};
 use crate::time::{Span, Time};
 
@@ -94,6 +95,7 @@
     /// Number of hosts to which slots are allocated; 0 when they are not allocated.
     pub(super) slot_sharers: u32,
     pub(super) limits: UpstreamLimits,
+    pub(super) notices: UpstreamNotices,
 }
 
 /// Numbers of waiting requests by precedence.
@@ -122,6 +124,7 @@
             demand: DecayingRate::new(DEMAND_WINDOW),
             slot_sharers: 0,
             limits: UpstreamLimits::new(Time::default()),
+            notices: UpstreamNotices::new(seed),
         }
     }
 
@@ -219,20 +222,51 @@
         &mut self.limits
     }
 
+    /// Returns what the upstreams say of themselves that keeps requests away.
+    pub fn notices(&self) -> &UpstreamNotices {
+        &self.notices
+    }
+
+    /// Returns what the upstreams say of themselves that keeps requests away, to change it.
+    pub fn notices_mut(&mut self) -> &mut UpstreamNotices {
+        &mut self.notices
+    }
+
     /// Iterates over the upstreams that may get a run now.
     pub(super) fn usable(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let within_limit = move |u: &Upstream| self.limits.delay(u.number, now) == Some(Span::ZERO);
-        self.sound(now).filter(move |(_, u)| within_limit(u))
+        let is_allowed = move |u: &Upstream| self.delay(u, now) == Some(Span::ZERO);
+        self.sound(now).filter(move |(_, u)| is_allowed(u))
     }
 
-    /// Iterates over the upstreams that may get runs, now or within their limits. While all circuits
-    /// are open, they are ignored: trying an upstream is better than refusing every request.
+    /// Returns the time after which this host may send a request to the upstream, by its limit and the
+    /// pause that it wants; `None` if this host leaves the upstream to others.
+    pub(super) fn delay(&self, upstream: &Upstream, now: Time) -> Option<Span> {
+        let by_limit = self.limits.delay(upstream.number, now)?;
+        Some(by_limit.max(self.notices.pause_left(upstream.number, now)))
+    }
+
+    /// Iterates over the upstreams that may get runs, now or later within their limits. While all
+    /// circuits are open, they are ignored: trying an upstream is better than refusing every request.
     pub(super) fn sound(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let is_healthy = move |u: &Upstream| !u.listed.draining && !u.health.is_circuit_open(now);
+        let is_healthy = move |u: &Upstream| !self.is_leaving(u) && !u.health.is_circuit_open(now);
         let any_healthy = self.upstreams.iter().any(|(_, u)| is_healthy(u));
         self.upstreams
             .iter()
-            .filter(move |(_, u)| !u.listed.draining && (is_healthy(u) || !any_healthy))
+            .filter(move |(_, u)| !self.is_leaving(u) && (is_healthy(u) || !any_healthy))
+    }
+
+    /// Returns whether the upstream leaves, by the platform's list or by its own word.
+    pub(super) fn is_leaving(&self, upstream: &Upstream) -> bool {
+        upstream.listed.draining || self.notices.is_leaving(upstream.number)
+    }
+
+    /// Returns whether a request may be sent to the upstream at this moment: it may have said since the
+    /// placement that it leaves or wants a pause. An upstream that is no longer listed may not.
+    pub fn may_send(&self, key: UpstreamKey, now: Time) -> bool {
+        let upstream = self.upstreams.get(key);
+        upstream.is_some_and(|u| {
+            !self.is_leaving(u) && self.notices.pause_left(u.number, now) == Span::ZERO
+        })
     }
 
     /// Records that a request was sent.
@@ -368,10 +402,18 @@
         self.limits.record(number, dc, rate, said_at, now)
     }
 
-    /// Forgets the limits of upstreams that are gone for long.
-    pub fn expire_limits(&mut self, now: Time) {
+    /// Records what an upstream says of itself, and returns whether that changes anything. Unknown
+    /// upstreams are ignored.
+    pub fn record_statement(&mut self, key: UpstreamKey, statement: Statement, now: Time) -> bool {
+        let number = self.upstreams.get(key).map(|u| u.number);
+        number.is_some_and(|number| self.notices.record(number, statement, now))
+    }
+
+    /// Forgets what upstreams said of themselves that are gone for long.
+    pub fn expire_statements(&mut self, now: Time) {
         let by_number = &self.by_number;
         self.limits.expire(|n| by_number.contains_key(&n), now);
+        self.notices.expire(|n| by_number.contains_key(&n), now);
     }
 
     /// Returns the id of the upstream with this number, or `-`.
--- a/stoatjunction_core/tests/entry_upstream_limits.rs
+++ b/stoatjunction_core/tests/entry_upstream_limits.rs
@@ -234,7 +234,7 @@
         }
         End::GoneFromTheListAndBack => {
             pool.set_upstreams([listed("free", 1)].iter(), ms(2_000));
-            pool.expire_limits(ms(2_500));
+            pool.expire_statements(ms(2_500));
             pool.set_upstreams([listed("limited", 1), listed("free", 1)].iter(), ms(3_000));
         }
     }
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -17,6 +17,7 @@
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
 use crate::state::Context;
+use crate::statements;
 
 /// Request as it is sent to upstreams, the same at every attempt.
 #[derive(Clone, Debug)]
@@ -86,6 +87,8 @@
     DeadlineExceeded,
     /// Upstreams crash under the request; nothing was sent.
     Barred,
+    /// The upstream has said since the placement that it leaves or wants a pause; nothing was sent.
+    Withdrawn,
     /// The upstream states that it did not run the request.
     NotRun { status: u16 },
     /// The connection broke or the response was invalid; the upstream may have run the request.
@@ -130,6 +133,14 @@
     if is_barred(cx, request, target) {
         return Err(AttemptError::Barred);
     }
+    if !placement.may_send() {
+        log::info!(
+            "event=withdrawn request={} upstream={}",
+            request.id_for_log(),
+            target.id
+        );
+        return Err(AttemptError::Withdrawn);
+    }
     let req = build_request(request, target, left, &cx.names);
     before_send();
     cx.metrics.count(
@@ -251,12 +262,7 @@
         );
         return Err(AttemptError::Broken);
     }
-    if let Some((running, waiting)) = parse_load(&head.headers, names) {
-        placement.record_load_report(running, waiting);
-    }
-    if let Some(limit) = parse_limit(&head, names) {
-        placement.record_limit(limit);
-    }
+    statements::read(&head, names, placement);
     let status = head.status;
     if status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_run) {
         log::info!(
@@ -289,30 +295,6 @@
     })
 }
 
-/// Parses the numbers of running and waiting requests that the upstream reports.
-fn parse_load(headers: &HeaderMap, names: &HeaderNames) -> Option<(u32, u32)> {
-    let text = headers.get(&names.load)?.to_str().ok()?;
-    let mut numbers = text.split(',').map(|n| n.trim().parse::<u32>());
-    let running = numbers.next()?.ok()?;
-    let waiting = numbers.next()?.ok()?;
-    Some((running, waiting))
-}
-
-/// Parses what the upstream says of its limit: the requests a second, or that it has none. Returns
-/// `None` if the response says nothing, since it may be another upstream's, or only a refusal.
-fn parse_limit(head: &http::response::Parts, names: &HeaderNames) -> Option<Option<f64>> {
-    let has_signature = head.headers.contains_key(&names.signature);
-    let is_refusal = head.headers.contains_key(&names.not_run);
-    if head.status == StatusCode::MISDIRECTED_REQUEST || !(has_signature || is_refusal) {
-        return None;
-    }
-    let Some(value) = head.headers.get(&names.limit) else {
-        return has_signature.then_some(None);
-    };
-    let limit: f64 = value.to_str().ok()?.trim().parse().ok()?;
-    (limit.is_finite() && limit >= 0.0).then_some(Some(limit))
-}
-
 /// Parses the idle timeout that the upstream states for the connection; zero when it closes the
 /// connection.
 fn parse_idle_timeout(headers: &HeaderMap) -> Option<Span> {
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -189,6 +189,8 @@
             }
             Err(AttemptError::DeadlineExceeded) => return error.ok_or_else(|| too_late(progress)),
             Err(AttemptError::Barred) => return error.ok_or_else(|| barred(progress)),
+            // The placement leaves the upstream out from now on.
+            Err(AttemptError::Withdrawn) => continue,
             Err(AttemptError::NotSent) => {
                 progress.may_have_run.set(may_have_run_before);
                 unreachable += 1;
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -16,6 +16,7 @@
 use crate::crash_reports::{self, CrashReporter};
 use crate::heartbeat::{self, Heartbeat};
 use crate::limit_reports::{self, LimitsMessage};
+use crate::notice_reports::{self, NoticesMessage};
 use crate::relay::{self, DataCentreSummary, host_number};
 use crate::state::{Context, Peer, SharedState};
 
@@ -49,6 +50,7 @@
     DataCentre(DataCentreSummary),
     Crashes(Vec<CrashReport>),
     Limits(LimitsMessage),
+    Notices(NoticesMessage),
 }
 
 /// Sends and receives messages for as long as the daemon runs.
@@ -100,6 +102,9 @@
     if let Some(limits) = limit_reports::build_own(cx, full) {
         send(cx, socket, &HostMessage::Limits(limits), &receivers);
     }
+    if let Some(notices) = notice_reports::build_own(cx, full) {
+        send(cx, socket, &HostMessage::Notices(notices), &receivers);
+    }
     receivers.len()
 }
 
@@ -111,12 +116,16 @@
     }
     let message = HostMessage::DataCentre(relay::summarise(cx, &state));
     let limits = limit_reports::build_relayed(cx, &state);
+    let notices = notice_reports::build_relayed(&state);
     let receivers = relay::receivers(cx, &state);
     drop(state);
     send(cx, socket, &message, &receivers);
     if let Some(limits) = limits {
         send(cx, socket, &HostMessage::Limits(limits), &receivers);
     }
+    if let Some(notices) = notices {
+        send(cx, socket, &HostMessage::Notices(notices), &receivers);
+    }
 }
 
 fn send(cx: &Context, socket: &UdpSocket, message: &HostMessage, receivers: &[IpAddr]) {
@@ -281,6 +290,12 @@
                 }
                 limit_reports::receive(&cx, sender.ip(), &limits);
             }
+            Ok((HostMessage::Notices(notices), _)) => {
+                if notices.is_relayed {
+                    forward_relayed(&cx, &socket, sender.ip(), bytes);
+                }
+                notice_reports::receive(&cx, sender.ip(), &notices);
+            }
             Ok((HostMessage::Crashes(reports), _)) => {
                 crash_reports::receive(&cx, sender.ip(), &reports);
             }
--- a/stoatjunction_entry/src/header_names.rs
+++ b/stoatjunction_entry/src/header_names.rs
@@ -27,6 +27,8 @@
     pub load: HeaderName,
     /// Requests a second that the upstream takes from all hosts together.
     pub limit: HeaderName,
+    /// The upstream's announcement that it leaves.
+    pub leaving: HeaderName,
     /// Id of the last event that the reader of a stream has received.
     pub last_event: HeaderName,
     /// Headers that callers may not pass on to upstreams.
@@ -47,6 +49,7 @@
             prompt: HeaderName::from_static("x-prompt-parts"),
             load: HeaderName::from_static("x-load"),
             limit: HeaderName::from_static("x-limit"),
+            leaving: HeaderName::from_static("x-leaving"),
             last_event: HeaderName::from_static("last-event-id"),
             reserved: Vec::new(),
         }
--- a/stoatjunction_entry/src/limit_reports.rs
+++ b/stoatjunction_entry/src/limit_reports.rs
@@ -139,6 +139,6 @@
     for scheduler in state.schedulers.values_mut() {
         let pool = &mut scheduler.pool;
         pool.limits_mut().set_hosts(own.clone(), others.clone());
-        pool.expire_limits(now);
+        pool.expire_statements(now);
     }
 }
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -8,6 +8,7 @@
 use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
+use stoatjunction_core::entry::upstream_notices::Statement;
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -16,6 +17,7 @@
 use crate::clock;
 use crate::crash;
 use crate::limit_reports;
+use crate::notice_reports;
 use crate::state::Context;
 
 /// Multiple of the forecast time to the first event that, added to the target latency, gives the
@@ -363,6 +365,29 @@
         }
     }
 
+    /// Records what the upstream said of itself.
+    pub(crate) fn record_statement(&self, statement: Statement) {
+        let now = clock::now();
+        let mut state = self.cx.state.borrow_mut();
+        let Some(scheduler) = state.schedulers.get_mut(&self.service) else {
+            return;
+        };
+        if scheduler.pool.record_statement(self.key, statement, now) {
+            let id = self.target.as_ref().map_or("-", |t| t.id.as_str());
+            notice_reports::log_statement(id, statement);
+            let tags = [("notice", statement.label())];
+            self.cx.metrics.count("upstream_notices", &tags);
+            self.cx.gossip_wakeup.notify_one();
+        }
+    }
+
+    /// Returns whether the request may be sent to the upstream at this moment.
+    pub(crate) fn may_send(&self) -> bool {
+        let state = self.cx.state.borrow();
+        let scheduler = state.schedulers.get(&self.service);
+        scheduler.is_some_and(|s| s.pool.may_send(self.key, clock::now()))
+    }
+
     /// Records an outcome of the upstream before the end of the run.
     pub(crate) fn record_outcome(&self, outcome: RunOutcome) {
         self.with_pool(|pool| pool.record_outcome(self.key, outcome, clock::now()));
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -275,6 +275,8 @@
                     self.log_end("resumed", &target);
                     return Some((response, placement, target));
                 }
+                // The placement leaves the upstream out from now on.
+                Err(AttemptError::Withdrawn) => continue,
                 Err(AttemptError::NotSent) => unreachable += 1,
                 Err(AttemptError::DeadlineExceeded | AttemptError::Barred) => return None,
                 Ok(_) => {
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the users' upstreams that replies by a script, including all kinds of failures. It
 //! writes to the socket directly, since some replies violate HTTP.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -88,8 +88,8 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     open: usize,
-    /// Requests a second that the upstream says it takes, as text.
-    named_limit: Option<String>,
+    /// What the upstream says of itself in all responses, by header name.
+    statements: BTreeMap<String, String>,
     arrivals: Vec<Instant>,
     poison: Option<Poison>,
     crashes: Vec<Crash>,
@@ -197,7 +197,16 @@
 
     /// Names a limit in requests a second in all responses from now on, or none.
     pub fn name_limit(&self, limit: Option<&str>) {
-        self.lock().named_limit = limit.map(str::to_owned);
+        self.say("Server-Limit", limit);
+    }
+
+    /// Sends the header in all responses from now on, or no longer.
+    pub fn say(&self, header: &str, value: Option<&str>) {
+        let statements = &mut self.lock().statements;
+        match value {
+            Some(value) => statements.insert(header.to_owned(), value.to_owned()),
+            None => statements.remove(header),
+        };
     }
 
     /// Returns when each request arrived, the oldest first.
@@ -285,9 +294,10 @@
         std::future::pending().await
     }
 
-    fn limit_header(&self) -> String {
-        let limit = self.lock().named_limit.clone();
-        limit.map_or_else(String::new, |l| format!("Server-Limit: {l}\r\n"))
+    fn statement_headers(&self) -> String {
+        let state = self.lock();
+        let lines = state.statements.iter();
+        lines.map(|(n, v)| format!("{n}: {v}\r\n")).collect()
     }
 
     /// Sends a reply. Returns true if the connection can be reused.
@@ -298,8 +308,8 @@
         reply: Reply,
     ) -> io::Result<bool> {
         let id = req.header("attempt-id").unwrap_or_default();
-        let limit = self.limit_header();
-        let stamp = format!("Server-Stamp: {}\r\n{limit}", self.id);
+        let said = self.statement_headers();
+        let stamp = format!("Server-Stamp: {}\r\n{said}", self.id);
         let body = format!("{} {}", self.id, req.body.len());
         let stream_paths = ["/stream/", "/resumed/"];
         let is_stream = stream_paths.iter().any(|p| req.line.contains(p));
@@ -308,7 +318,7 @@
             Reply::Echo | Reply::ByPath => stream.write_all(&frame(200, id, &stamp, &body)).await?,
             Reply::Status(code) => stream.write_all(&frame(code, id, &stamp, &body)).await?,
             Reply::NotRun(code) => {
-                let header = format!("Not-Executed: 1\r\n{limit}");
+                let header = format!("Not-Executed: 1\r\n{said}");
                 stream.write_all(&frame(code, id, &header, "")).await?;
             }
             Reply::NoSignature => stream.write_all(&frame(200, id, "", &body)).await?,
@@ -348,7 +358,7 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {id}\r\nServer-Stamp: {}\r\n{}Transfer-Encoding: chunked\r\n\r\n",
             self.id,
-            self.limit_header()
+            self.statement_headers()
         );
         stream.write_all(head.as_bytes()).await?;
         let last_received: u64 = req
