Elect few hosts that follow the store, and let others step in by turns

Ruled out: a loop of lists after lost history.

Change: followers are those with the lowest numbers of the reachable hosts, decided in the core without votes or network: at least four of a fleet above ten hosts, divided over data centres. Others step in 0.4 to 1.2 s later, one after the other, and back off with their place. At the first start of a fleet, long before callers, hosts that are no seeds wait a second for the state of others; after any start hosts list, and hear the others before they watch.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod decaying_rate;
+pub mod follower_election;
 pub mod health;
 pub mod latency;
 mod peer_reports;
--- a/stoatjunction_entry/src/catch_up.rs
+++ b/stoatjunction_entry/src/catch_up.rs
@@ -8,7 +8,7 @@
 use crate::followers;
 use crate::heartbeat::{self, StateVersion};
 use crate::snapshot;
-use crate::state::Context;
+use crate::state::{Context, SharedState};
 
 /// Time for which a host that follows the store waits for it before it asks another host.
 const OWN_STORE_WAIT: Duration = Duration::from_millis(500);
@@ -16,13 +16,23 @@
 /// Compares the state version of another host with this one's, and fetches a snapshot if that
 /// host's is newer.
 pub(crate) fn compare(cx: &Rc<Context>, peer: IpAddr, peer_version: StateVersion) {
-    let own = heartbeat::state_version(&cx.state.borrow());
-    let list_differs = peer_version.revision > own.revision && peer_version.digest != own.digest;
-    if peer_version.config > own.config || list_differs {
+    let is_behind = {
+        let state = cx.state.borrow();
+        let own = heartbeat::state_version(&state);
+        let list_differs =
+            peer_version.revision > own.revision && peer_version.digest != own.digest;
+        peer_version.config > own.config || list_differs || lacks_list(&state, peer_version)
+    };
+    if is_behind {
         tokio::task::spawn_local(catch_up(cx.clone(), peer, peer_version));
     }
 }
 
+/// Returns whether the other host has a list, be it an empty one, and this one has none.
+fn lacks_list(state: &SharedState, peer_version: StateVersion) -> bool {
+    !state.has_list && peer_version.revision > 0
+}
+
 async fn catch_up(cx: Rc<Context>, peer: IpAddr, peer_version: StateVersion) {
     if followers::must_follow(&cx) {
         tokio::time::sleep(OWN_STORE_WAIT).await;
@@ -30,7 +40,9 @@
     let must_fetch = {
         let mut state = cx.state.borrow_mut();
         let own = heartbeat::state_version(&state);
-        let differs = own.config < peer_version.config || own.digest != peer_version.digest;
+        let differs = own.config < peer_version.config
+            || own.digest != peer_version.digest
+            || lacks_list(&state, peer_version);
         let is_fetching = state.is_fetching_snapshot;
         state.is_fetching_snapshot = is_fetching || differs;
         differs && !is_fetching
--- a/stoatjunction_entry/src/crash_writer.rs
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -31,7 +31,11 @@
         if let Err(e) = write_all(&cx, &*store).await {
             cx.metrics.count(
                 "store_calls",
-                &[("topic", "crash_writes"), ("result", "failed")],
+                &[
+                    ("topic", "crash_writes"),
+                    ("call", "write"),
+                    ("result", "failed"),
+                ],
             );
             log::info!("event=crash_write_failed reason=\"{e}\"");
             tokio::time::sleep(RETRY_DELAY).await;
@@ -81,7 +85,11 @@
     store.add_crash(crash, age).await?;
     cx.metrics.count(
         "store_calls",
-        &[("topic", "crash_writes"), ("result", "answered")],
+        &[
+            ("topic", "crash_writes"),
+            ("call", "write"),
+            ("result", "answered"),
+        ],
     );
     let mut state = cx.state.borrow_mut();
     state.poison_requests.set_stored(crash, true);
--- a/stoatjunction_entry/src/followers.rs
+++ b/stoatjunction_entry/src/followers.rs
@@ -1,21 +1,29 @@
-//! Which hosts follow the platform's store.
+//! This host's part in following the platform's store, for itself and for other hosts.
 //!
-//! Each request to the store is billed, and each change of a list wakes every watch. In a large
-//! fleet two hosts of each data centre follow the store and the others get its state from them. A
-//! host that doesn't reach two followers follows the store itself, so that none depends on a host
-//! that is gone, partitioned or refused by the store.
+//! In a large fleet hosts of other data centres are heard through relays only, so that each data centre
+//! has its own followers. What they read reaches the other hosts as snapshots, and the relays compare
+//! versions between data centres.
 
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use stoatjunction_core::entry::follower_election::{Candidate, Role, wanted_followers};
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
 use crate::relay::host_number;
 use crate::state::{Context, SharedState};
 
-/// Number of hosts in a data centre that follow the store.
-const FOLLOWERS_PER_DC: usize = 2;
 /// Time since the store's last response after which a host no longer counts as following it. A
 /// watch returns well before, even without changes.
 const RESPONSE_MAX_AGE: Span = Span::from_millis(6_000);
+/// Time for which a host waits for the state of others when the whole fleet starts for the first time,
+/// which is long before callers come.
+const FIRST_START_WAIT: Span = Span::from_millis(1_000);
+/// Time after the start at which a host without state asks the store, whatever others do.
+const MAX_WAIT_FOR_STATE: Span = Span::from_millis(3_000);
+/// Longest backoff of a host that steps in for others: all of them may get no response.
+const MAX_STAND_IN_BACKOFF: Duration = Duration::from_secs(15);
 
 /// Returns whether this host has a recent response from the store on every topic.
 pub(crate) fn follows(state: &SharedState, now: Time) -> bool {
@@ -23,17 +31,51 @@
     state.store_answered_at.into_iter().all(is_fresh)
 }
 
-/// Returns whether this host has to follow the store itself.
+/// Returns whether this host follows the store itself.
 pub(crate) fn must_follow(cx: &Context) -> bool {
+    role(cx).follows()
+}
+
+/// Returns whether this host follows the store itself, and for whom.
+pub(crate) fn role(cx: &Context) -> Role {
     let now = clock::now();
-    let state = cx.state.borrow();
-    if !state.has_many_hosts() || state.routes.is_none() || !state.has_list {
-        return true;
+    let mut guard = cx.state.borrow_mut();
+    let state = &mut *guard;
+    let age = now.since(state.started);
+    let has_state = state.routes.is_some() && state.has_list;
+    if !has_state && age >= MAX_WAIT_FOR_STATE {
+        return Role::Follower;
+    }
+    let is_seed = cx.settings.seeds.contains(&cx.settings.ip);
+    if cx.settings.first_start && !is_seed && !has_state && age < FIRST_START_WAIT {
+        return Role::Reader;
+    }
+    let is_large = state.has_many_hosts();
+    let mut data_centres: IndexSet<&str> = IndexSet::from([cx.settings.dc.as_str()]);
+    if is_large {
+        data_centres.extend(state.peers.values().map(|p| p.dc.as_str()));
+    }
+    let wanted = wanted_followers(data_centres.len());
+    let in_group = |dc: &str| !is_large || dc == cx.settings.dc;
+    let peers = state.peers.iter();
+    let peers = peers.filter(|(_, p)| in_group(&p.dc) && !p.leaving);
+    let others = peers
+        .filter(|(_, p)| !state.is_unreachable(p, now))
+        .map(|(ip, p)| Candidate {
+            number: host_number(*ip),
+            follows: p.follows,
+        });
+    let mut election = state.follower_election;
+    let role = election.role(host_number(cx.settings.ip), others, wanted, now);
+    state.follower_election = election;
+    role
+}
+
+/// Returns the backoff of a host in this role: those that step in ask more rarely the more of them there
+/// are, so that a store in trouble is not asked by the whole fleet.
+pub(crate) fn backoff(role: Role, backoff: Duration) -> Duration {
+    match role {
+        Role::StandIn(place) => (backoff * place).clamp(backoff, MAX_STAND_IN_BACKOFF),
+        Role::Follower | Role::Reader => backoff,
     }
-    let own = host_number(cx.settings.ip);
-    let local_peers = state.peers.iter().filter(|(_, p)| p.dc == cx.settings.dc);
-    let following =
-        local_peers.filter(|(_, p)| p.follows && !p.leaving && !state.is_unreachable(p, now));
-    let before = following.filter(|(ip, _)| host_number(**ip) < own);
-    before.count() < FOLLOWERS_PER_DC
 }
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::follower_election::FollowerElection;
 use stoatjunction_core::entry::poison_requests::{Crash, PoisonRequests};
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::queue::RequestId;
@@ -86,6 +87,7 @@
     /// Time of the store's last response on the configuration and on upstreams; `None` while this host doesn't follow the store
     /// or gets no response.
     pub(crate) store_answered_at: [Option<Time>; 2],
+    pub(crate) follower_election: FollowerElection,
     /// Time after which a leaving upstream must get no more work.
     pub(crate) drain: Span,
     /// True while the snapshot of another host is being fetched.
@@ -148,6 +150,7 @@
             started: now,
             store_failed_at: None,
             store_answered_at: [None; 2],
+            follower_election: FollowerElection::default(),
             drain: settings.drain,
             is_fetching_snapshot: false,
             longest_deadlines: IndexMap::new(),
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
 use stoatjunction_core::time::{Span, Time};
@@ -29,6 +30,8 @@
 const MAX_DELAY_PART: f64 = 0.55;
 /// Interval for checking whether this host has to follow the store itself.
 const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the start within which hosts hear each other.
+const HEARING_TIME: Span = Span::from_millis(300);
 /// Interval for checking delayed removals.
 const REMOVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -140,34 +143,74 @@
 {
     let mut backoff = MIN_BACKOFF;
     loop {
-        if !followers::must_follow(&cx) {
+        let role = followers::role(&cx);
+        if !role.follows() {
             set_answered(&cx, topic, None);
             tokio::time::sleep(FOLLOW_CHECK_INTERVAL).await;
             continue;
         }
-        match store.list(topic).await {
+        let listed = store.list(topic).await;
+        record_call(&cx, topic, "list", role, listed.as_ref().err());
+        match listed {
             Ok(all) => {
                 backoff = MIN_BACKOFF;
-                record_response(&cx, topic);
                 let revision = all.revision;
                 replace(&cx, topic, all);
+                wait_for_others(&cx).await;
                 watch_from(&cx, &*store, topic, revision).await;
+                // A store that cuts its watches may do so again at once.
+                tokio::time::sleep(jittered(MIN_BACKOFF)).await;
             }
-            Err(e) => {
-                record_failure(&cx, topic, &e);
-                tokio::time::sleep(backoff.mul_f64(0.5 + fastrand::f64())).await;
+            Err(_) => {
+                tokio::time::sleep(jittered(followers::backoff(role, backoff))).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
         }
     }
 }
 
-fn record_response(cx: &Context, topic: Topic) {
-    cx.metrics.count(
-        "store_calls",
-        &[("topic", topic.label()), ("result", "answered")],
-    );
-    set_answered(cx, topic, Some(clock::now()));
+fn jittered(backoff: Duration) -> Duration {
+    backoff.mul_f64(0.5 + fastrand::f64())
+}
+
+/// Waits until this host has heard the others if it has just started: they may follow the store for it.
+/// What changes meanwhile is in the response to the first watch.
+async fn wait_for_others(cx: &Context) {
+    let started = cx.state.borrow().started;
+    tokio::time::sleep_until(clock::instant(started + HEARING_TIME)).await;
+}
+
+/// Records a call to the store: its result, and its time if it was answered.
+fn record_call(cx: &Context, topic: Topic, call: &str, role: Role, error: Option<&StoreError>) {
+    let result = if error.is_none() {
+        "answered"
+    } else {
+        "failed"
+    };
+    let tags = [
+        ("topic", topic.label()),
+        ("call", call),
+        ("role", role.label()),
+        ("result", result),
+    ];
+    cx.metrics.count("store_calls", &tags);
+    match error {
+        None => {
+            log::info!(
+                "event=store_call topic={topic:?} call={call} role={}",
+                role.label()
+            );
+            set_answered(cx, topic, Some(clock::now()));
+        }
+        Some(StoreError::HistoryGone) => {
+            log::info!("event=store_history_gone topic={topic:?} call={call}");
+        }
+        Some(e) => {
+            log::info!("event=store_request_failed topic={topic:?} call={call} reason={e}");
+            cx.state.borrow_mut().store_failed_at = Some(clock::now());
+            set_answered(cx, topic, None);
+        }
+    }
 }
 
 fn set_answered(cx: &Context, topic: Topic, at: Option<Time>) {
@@ -182,39 +225,23 @@
 where
     S: Store,
 {
-    while followers::must_follow(cx) {
-        match store.watch(topic, revision, topic.watch_timeout()).await {
-            Ok(changes) => {
-                record_response(cx, topic);
-                revision = revision.max(changes.revision);
-                let has_changes = !changes.changes.is_empty();
-                apply(cx, changes);
-                if has_changes && topic == Topic::Upstreams {
-                    tokio::time::sleep(BATCH_DELAY).await;
-                }
-            }
-            Err(StoreError::HistoryGone) => {
-                log::info!("event=store_history_gone topic={topic:?} since={revision}");
-                return;
-            }
-            Err(e) => {
-                record_failure(cx, topic, &e);
-                return;
-            }
+    loop {
+        let role = followers::role(cx);
+        if !role.follows() {
+            return;
+        }
+        let watched = store.watch(topic, revision, topic.watch_timeout()).await;
+        record_call(cx, topic, "watch", role, watched.as_ref().err());
+        let Ok(changes) = watched else { return };
+        revision = revision.max(changes.revision);
+        let has_changes = !changes.changes.is_empty();
+        apply(cx, changes);
+        if has_changes && topic == Topic::Upstreams {
+            tokio::time::sleep(BATCH_DELAY).await;
         }
     }
 }
 
-fn record_failure(cx: &Context, topic: Topic, e: &StoreError) {
-    log::info!("event=store_request_failed topic={topic:?} reason={e}");
-    cx.metrics.count(
-        "store_calls",
-        &[("topic", topic.label()), ("result", "failed")],
-    );
-    cx.state.borrow_mut().store_failed_at = Some(clock::now());
-    set_answered(cx, topic, None);
-}
-
 /// Returns the delay of removals shortly after a failed request to the store: entries that expired
 /// meanwhile may come back. Upstreams that are gone for good must still get no work after the drain
 /// time.
