Count whole events, not bytes, as progress of a stream

Cause: any frame put off the time after which a resumable stream moves to another upstream. One that sent a byte now and then, or only comments, never moved and ended at its deadline.

Change: only events with fields count, repeated ones after a resumption included. A slow stream that still sends events is left alone as before.

--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -27,6 +27,8 @@
     buf: BytesMut,
     last: Option<u64>,
     checks_ids: bool,
+    /// Events received, without those that are comments only.
+    received: u64,
 }
 
 impl EventFilter {
@@ -43,6 +45,12 @@
         self.last
     }
 
+    /// Returns the number of events received so far, repeated ones included. Comments and incomplete
+    /// events, by which a stalled stream may show that its connection lives, don't count.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Prepares for another upstream's stream, which resumes after the last event. From then on ids
     /// are checked.
     pub fn restart(&mut self) {
@@ -60,6 +68,7 @@
         let mut out = BytesMut::new();
         while let Some(length) = first_event_length(&self.buf) {
             let event = self.buf.split_to(length);
+            self.received += u64::from(!is_comment(&event));
             if self.is_new(&event)? {
                 out.extend_from_slice(&event);
             }
@@ -113,6 +122,12 @@
     None
 }
 
+/// Returns whether an event has no fields.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.all(|l| l.starts_with(b":") || l.is_empty() || l == b"\r")
+}
+
 fn parse_event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
     let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next()?;
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -166,8 +166,8 @@
         let deadline = tokio::time::sleep_until(clock::instant(self.deadline));
         let event_timeout = self.event_timeout();
         placement.set_silence_limit(self.target_gap.unwrap_or(DEFAULT_EVENT_TIMEOUT));
-        let mut last_frame_at = clock::now();
-        let event_timer = tokio::time::sleep_until(clock::instant(last_frame_at + event_timeout));
+        let mut last_event_at = clock::now();
+        let event_timer = tokio::time::sleep_until(clock::instant(last_event_at + event_timeout));
         tokio::pin!(deadline, event_timer);
         loop {
             let frame = tokio::select! {
@@ -176,7 +176,7 @@
                 frame = response.body.frame() => frame,
                 () = &mut deadline => return SegmentEnd::TooLate,
                 () = &mut event_timer => {
-                    if clock::now() >= last_frame_at + event_timeout {
+                    if clock::now() >= last_event_at + event_timeout {
                         placement.check_silence();
                         if may_resume
                             && let Some(other) = self.place_on_other(placement.key).await
@@ -184,22 +184,25 @@
                             placement.silence_checked().await;
                             return SegmentEnd::TimedOut(other);
                         }
-                        last_frame_at = clock::now();
+                        last_event_at = clock::now();
                     }
-                    event_timer.as_mut().reset(clock::instant(last_frame_at + event_timeout));
+                    event_timer.as_mut().reset(clock::instant(last_event_at + event_timeout));
                     continue;
                 }
             };
-            last_frame_at = clock::now();
             placement.record_bytes();
             let data = match frame {
                 None if self.event_filter.check_end().is_ok() => return SegmentEnd::Complete,
                 None | Some(Err(_)) => return SegmentEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            let received = self.event_filter.received();
             let Ok(events) = self.event_filter.push_bytes(&data) else {
                 return SegmentEnd::Broken;
             };
+            if self.event_filter.received() > received {
+                last_event_at = clock::now();
+            }
             if !events.is_empty() && self.tx.send(Ok(events)).await.is_err() {
                 return SegmentEnd::CallerGone;
             }
