End requests that meet bytes without end, and only these

Cause, by a stand-in that sends each part of a response without end, fast or a byte now and then (27 cases, six of them red in at least one of two runs on the code before): - The HTTP library reads interim responses, the size of a chunk and trailers in a loop. A fast upstream kept the only thread busy: final answers came 0.5 to 1.1 s late, also to other requests. - Plain responses were held in memory up to 8 MB each. Twelve at once took 50 to 60 MB; the smallest hosts have 88. - A caller's body had no time limit: twelve callers that sent the size of a chunk without end were still connected after 5 s.

Ruled out: heads, which the library bounds already.

--- a/stoatjunction_core/src/code.rs
+++ b/stoatjunction_core/src/code.rs
@@ -118,6 +118,8 @@
     NoRoute = 1010, "no-route", 404, NotRun, Never;
     /// The API key is missing or belongs to no organisation.
     UnknownKey = 1011, "unknown-key", 401, NotRun, Never;
+    /// The caller had not sent the whole body when the route's timeout passed.
+    BodyLate = 1012, "body-late", 408, NotRun, Later;
     /// Every reachable shard is full with requests of the same or higher tiers.
     Overloaded = 2001, "overloaded", 503, NotRun, Later;
     /// The deadline could not be met even on an idle upstream.
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -6,7 +6,6 @@
 use http::header::HOST;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::{Organisation, Route};
 use stoatjunction_core::entry::pool::PlacementRequest;
@@ -20,6 +19,7 @@
 use crate::clock;
 use crate::event_filter::EventFilter;
 use crate::metrics::{self, RequestLabels};
+use crate::read_limit::CountedBody;
 use crate::refusal::Refusal;
 use crate::state::Context;
 
@@ -68,7 +68,7 @@
 pub(crate) async fn admit_request(
     cx: &Rc<Context>,
     routes: &Rc<RouteTable>,
-    req: Request<Incoming>,
+    req: Request<CountedBody>,
     arrived: Time,
 ) -> Result<AdmittedRequest, Refusal> {
     let (head, body) = req.into_parts();
@@ -86,7 +86,10 @@
         RouteError::UnknownKey => Refusal::new(Code::UnknownKey),
     })?;
     let limited = Limited::new(body, routes.cfg().limits.body_bytes);
-    let body = limited.collect().await.map_err(|e| {
+    let latest = clock::instant(arrived + route.timeout);
+    let collected = tokio::time::timeout_at(latest, limited.collect()).await;
+    let collected = collected.map_err(|_| Refusal::new(Code::BodyLate))?;
+    let body = collected.map_err(|e| {
         let too_large = e.is::<http_body_util::LengthLimitError>();
         Refusal::new(if too_large {
             Code::BodyTooLarge
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::connection_pool::{self, Connection};
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
+use crate::read_limit::CountedBody;
 use crate::state::Context;
 use crate::statements;
 
@@ -73,7 +74,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamResponse {
     pub(crate) head: http::response::Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: CountedBody,
     pub(crate) connection: Connection,
     pub(crate) idle_timeout: Option<Span>,
 }
@@ -149,6 +150,7 @@
     );
     placement.mark_sent(request);
     placement.set_silence_limit(options.silence_limit);
+    connection.counter.reset();
     let response = connection.sender.try_send_request(req);
     let response = wait_for_response(response, options, placement, request, target).await?;
     let res = response.map_err(|mut e| {
@@ -253,6 +255,7 @@
 ) -> Result<UpstreamResponse, AttemptError> {
     placement.record_bytes();
     let (head, body) = res.into_parts();
+    let body = CountedBody::new(body, &connection.counter);
     let echoed = head.headers.get(&names.request_id);
     if echoed.is_some() && echoed != request.id.as_ref() {
         log::info!(
--- a/stoatjunction_entry/src/body.rs
+++ b/stoatjunction_entry/src/body.rs
@@ -8,6 +8,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 
+use crate::buffered::Buffered;
+
 /// Number of chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 32;
 
@@ -19,14 +21,14 @@
 /// Response body: held in memory as a whole, or a stream in progress.
 #[derive(Debug)]
 pub(crate) enum Body {
-    Full(Option<Bytes>),
+    Full(Option<Buffered>),
     Stream(mpsc::Receiver<Result<Bytes, StreamAborted>>),
 }
 
 impl Body {
     /// Creates a body that is held in memory.
     pub(crate) fn full(content: Bytes) -> Body {
-        Body::Full(Some(content))
+        Body::Full(Some(Buffered::from(content)))
     }
 
     /// Returns whether the body is a stream in progress.
@@ -51,7 +53,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         match &mut *self {
             Body::Full(content) => {
-                let content = content.take().filter(|c| !c.is_empty());
+                let content = content.as_mut().and_then(Buffered::take);
                 Poll::Ready(content.map(|c| Ok(Frame::data(c))))
             }
             Body::Stream(rx) => rx
@@ -61,14 +63,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Body::Full(content) if content.as_ref().is_none_or(Bytes::is_empty))
+        matches!(self, Body::Full(content) if content.as_ref().is_none_or(Buffered::is_empty))
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Body::Full(content) => {
-                SizeHint::with_exact(content.as_ref().map_or(0, |c| c.len() as u64))
-            }
+            Body::Full(content) => SizeHint::with_exact(content.as_ref().map_or(0, Buffered::len)),
             Body::Stream(_) => SizeHint::default(),
         }
     }
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock;
+use crate::read_limit::{LimitedConnection, ReadCounter};
 use crate::sockets;
 
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
@@ -27,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Bytes read without progress.
+    pub(crate) counter: ReadCounter,
     task: AbortHandle,
 }
 
@@ -104,6 +107,8 @@
 /// Opens a connection to `addr`. When it fails, nothing of a request has been sent.
 pub(crate) async fn open(addr: &str) -> io::Result<Connection> {
     let stream = sockets::connect(addr, CONNECT_TIMEOUT).await?;
+    let counter = ReadCounter::default();
+    let stream = LimitedConnection::new(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
@@ -114,6 +119,7 @@
     });
     Ok(Connection {
         sender,
+        counter,
         task: task.abort_handle(),
     })
 }
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -5,8 +5,6 @@
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::health::RunOutcome;
@@ -17,9 +15,11 @@
 };
 use crate::attempt::{self, AttemptError, AttemptOptions, UpstreamResponse, UpstreamTarget};
 use crate::body::Body;
+use crate::buffered;
 use crate::clock;
 use crate::metrics::{CountedRequest, RequestLabels};
 use crate::placement::Placement;
+use crate::read_limit::CountedBody;
 use crate::refusal::Refusal;
 use crate::state::{Context, InProgress};
 use crate::stream::{MAX_UNREACHABLE, StreamForwarder};
@@ -31,8 +31,6 @@
 const MIN_RETRY_AFTER_FRACTION: f64 = 0.6;
 /// Retry-after while there is no configuration.
 const NOT_READY_RETRY_AFTER: Span = Span::from_millis(400);
-/// Largest plain response that is held in memory.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Progress of a request's attempts.
 #[derive(Default)]
@@ -43,7 +41,7 @@
 }
 
 /// Handles a request and always returns a response; a refusal is logged.
-pub(crate) async fn handle(cx: Rc<Context>, req: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(cx: Rc<Context>, req: Request<CountedBody>) -> Response<Body> {
     let id = req.headers().get(&cx.names.request_id).cloned();
     let arrived = clock::now();
     let mut counted = CountedRequest::new(&cx.metrics);
@@ -75,7 +73,7 @@
 
 async fn respond(
     cx: &Rc<Context>,
-    req: Request<Incoming>,
+    req: Request<CountedBody>,
     arrived: Time,
     labels: &mut RequestLabels,
 ) -> Result<Response<Body>, Refusal> {
@@ -333,12 +331,20 @@
         connection,
         idle_timeout,
     } = response;
-    let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let collected = buffered::collect(cx, body);
     let silence_limit = placement.response_timeout(admitted.route.aim);
     let collected = placement.watch_silence(silence_limit, collected).await;
-    let Ok(collected) = collected else {
-        placement.end(RunOutcome::Broken);
-        return Err(());
+    let collected = match collected {
+        Ok(collected) => collected,
+        Err(e) => {
+            log::info!(
+                "event=broken request={} upstream={} reason=\"{e}\"",
+                admitted.request.id_for_log(),
+                target.id
+            );
+            placement.end(RunOutcome::Broken);
+            return Err(());
+        }
     };
     placement.record_first_event();
     let is_error = status.is_server_error();
@@ -362,7 +368,7 @@
             Refusal::new(Code::UpstreamError).response(&cx.names, admitted.request.id.as_ref())
         );
     }
-    let mut res = Response::new(Body::full(collected.to_bytes()));
+    let mut res = Response::new(Body::Full(Some(collected)));
     *res.status_mut() = status;
     *res.headers_mut() = response_headers(&head.headers);
     Ok(res)
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -19,6 +19,7 @@
 use crate::body::Body;
 use crate::clock;
 use crate::forward;
+use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 
@@ -68,9 +69,13 @@
         log::debug!("event=socket_options_failed reason={e}");
     }
     let activity = Rc::new(Activity::default());
+    let counter = ReadCounter::default();
     let service = {
-        let (cx, activity) = (cx.clone(), activity.clone());
-        service_fn(move |req| handle(cx.clone(), activity.clone(), req))
+        let (cx, activity, counter) = (cx.clone(), activity.clone(), counter.clone());
+        service_fn(move |req: Request<Incoming>| {
+            let req = req.map(|body| CountedBody::new(body, &counter));
+            handle(cx.clone(), activity.clone(), req)
+        })
     };
     let limits = cx.state.borrow().routes.as_ref().map(|r| r.cfg().limits);
     let head_bytes = limits
@@ -79,7 +84,10 @@
         .max(MIN_HEAD_BUFFER_BYTES);
     let conn = http1::Builder::new()
         .max_buf_size(head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(LimitedConnection::new(stream, counter)),
+            service,
+        );
     tokio::pin!(conn);
     loop {
         let idle_at = activity.last_used_at.get() + idle_timeout(&cx);
@@ -150,7 +158,7 @@
 async fn handle(
     cx: Rc<Context>,
     activity: Rc<Activity>,
-    req: Request<Incoming>,
+    req: Request<CountedBody>,
 ) -> Result<Response<Body>, Infallible> {
     let _active = ActiveRequest::new(&cx, &activity);
     let mut res = forward::handle(cx.clone(), req).await;
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod attempt;
 mod body;
+mod buffered;
 mod catch_up;
 pub mod clock;
 mod connection_pool;
@@ -25,6 +26,7 @@
 mod metrics;
 mod notice_reports;
 mod placement;
+mod read_limit;
 mod refusal;
 mod relay;
 pub mod settings;
--- /dev/null
+++ b/stoatjunction_entry/src/read_limit.rs
@@ -0,0 +1,143 @@
+//! A limit of what may be read from a connection without any progress of the message on it.
+//!
+//! A peer in trouble may send headers, interim responses, the size of a chunk or trailers without end. The
+//! HTTP library reads these in a loop, so that a fast peer would keep the only thread busy until the
+//! request's time-out. Heads and data are progress; what comes beyond the limit without either breaks the
+//! connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context as TaskContext, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes that may be read without progress. The largest head that is accepted and the library's buffers
+/// are smaller.
+const MAX_BYTES: usize = 256 * 1024;
+
+/// Bytes that were read from a connection since the last progress.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReadCounter(Arc<AtomicUsize>);
+
+impl ReadCounter {
+    /// Records progress.
+    pub(crate) fn reset(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose reads are limited.
+#[derive(Debug)]
+pub(crate) struct LimitedConnection<T> {
+    io: T,
+    counter: ReadCounter,
+}
+
+impl<T> LimitedConnection<T> {
+    /// Limits the reads of a connection. The counter has to be reset with each progress.
+    pub(crate) fn new(io: T, counter: ReadCounter) -> LimitedConnection<T> {
+        LimitedConnection { io, counter }
+    }
+}
+
+impl<T> AsyncRead for LimitedConnection<T>
+where
+    T: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        let total = self.counter.0.fetch_add(read, Ordering::Relaxed) + read;
+        if total > MAX_BYTES {
+            log::info!("event=endless_message bytes={total}");
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<T> AsyncWrite for LimitedConnection<T>
+where
+    T: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
+
+/// The body of a message, whose data is progress.
+#[derive(Debug)]
+pub(crate) struct CountedBody {
+    body: Incoming,
+    counter: ReadCounter,
+}
+
+impl CountedBody {
+    /// Creates the body of a message whose head was just read.
+    pub(crate) fn new(body: Incoming, counter: &ReadCounter) -> CountedBody {
+        counter.reset();
+        CountedBody {
+            body,
+            counter: counter.clone(),
+        }
+    }
+}
+
+impl HttpBody for CountedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && frame.is_data()
+        {
+            self.counter.reset();
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -122,6 +122,8 @@
     /// Wakes the task that stores crashes.
     pub(crate) crash_wakeup: Notify,
     pub(crate) in_progress: Cell<usize>,
+    /// Bytes of plain responses in memory.
+    pub(crate) held_bytes: Cell<usize>,
 }
 
 impl Context {
@@ -168,6 +170,7 @@
             gossip_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
             in_progress: Cell::new(0),
+            held_bytes: Cell::new(0),
         }
     }
 
--- /dev/null
+++ b/stoatjunction_standin/src/endless.rs
@@ -0,0 +1,65 @@
+//! Responses that never end.
+
+use std::io;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::scripted_upstream::{EndlessPart, Pace};
+
+/// Bytes that are written at once when sending fast.
+const BLOCK_BYTES: usize = 16 * 1024;
+
+/// Sends a response that begins with `head` and whose part never ends, until the peer closes the
+/// connection.
+///
+/// # Errors
+///
+/// The I/O error by which the connection ended.
+pub(crate) async fn send(
+    stream: &mut TcpStream,
+    head: &str,
+    part: EndlessPart,
+    pace: Pace,
+) -> io::Result<bool> {
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let event_stream =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let (beginning, repeated) = match part {
+        EndlessPart::Head => (head.to_owned(), "X-More: 0123456789abcdef\r\n"),
+        EndlessPart::Interim => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
+        EndlessPart::ChunkSize => (chunked, "0"),
+        EndlessPart::Event => (format!("{event_stream}7fffffff\r\ndata: "), "x"),
+        EndlessPart::Body => (format!("{head}\r\n"), "x"),
+        EndlessPart::Trailers => (format!("{chunked}0\r\n"), "X-More: 0123456789abcdef\r\n"),
+    };
+    stream.write_all(beginning.as_bytes()).await?;
+    match pace {
+        Pace::Slow(interval) => trickle(stream, repeated, interval).await,
+        Pace::Fast => {
+            let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len()));
+            loop {
+                stream.write_all(block.as_bytes()).await?;
+            }
+        }
+    }
+}
+
+/// Sends the bytes again and again, one in each interval, until the peer closes the connection.
+///
+/// # Errors
+///
+/// The I/O error by which the connection ended.
+pub(crate) async fn trickle(
+    stream: &mut TcpStream,
+    bytes: &str,
+    interval: Duration,
+) -> io::Result<bool> {
+    loop {
+        for byte in bytes.bytes() {
+            stream.write_all(&[byte]).await?;
+            tokio::time::sleep(interval).await;
+        }
+    }
+}
--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! and a fault-injecting TCP proxy.
 
 mod crash;
+mod endless;
 pub mod engine;
 pub mod host_list;
 pub mod metadata_store;
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -14,9 +14,12 @@
 
 pub use crate::crash::CrashMode;
 use crate::crash::{self, Poison, Status};
+use crate::endless;
 
 /// Interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval between two bytes of a stream that has stalled.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -41,6 +44,18 @@
     CloseWithoutResponse,
     /// Like `Echo`, followed by a second response that belongs to no request.
     ExtraResponse,
+    /// Like `Echo`, and sends a copy of the response before the next one on the same connection.
+    LateCopy {
+        /// Whether the copy names the request that it belongs to.
+        has_id: bool,
+    },
+    /// Streams events up to this id with this time between them.
+    SlowStream(u64, Duration),
+    /// Streams events up to this id, then these bytes again and again, one at a time, until the peer closes
+    /// the connection.
+    Trickle(u64, &'static str),
+    /// Sends this part of a response without end, until the peer closes the connection.
+    Endless(EndlessPart, Pace),
     /// Like `Echo`, but the body has no length and ends when the connection is closed.
     CloseDelimited,
     /// Like `Echo`, but without the upstream's signature.
@@ -51,6 +66,32 @@
     Hang,
 }
 
+/// Part of a response that never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndlessPart {
+    /// Headers.
+    Head,
+    /// Interim responses.
+    Interim,
+    /// The line with the size of a chunk.
+    ChunkSize,
+    /// One event of a stream.
+    Event,
+    /// A body without length.
+    Body,
+    /// Trailers after the last chunk.
+    Trailers,
+}
+
+/// How fast an endless part is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// As fast as the peer reads.
+    Fast,
+    /// A byte in each of these intervals.
+    Slow(Duration),
+}
+
 /// A request received by the upstream.
 #[derive(Clone, Debug, Default)]
 pub struct ReceivedRequest {
@@ -249,7 +290,9 @@
     }
 
     async fn serve(&self, stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<()> {
+        let mut late_copy = Vec::new();
         while let Some(mut req) = read_request(stream, buf).await? {
+            stream.write_all(&std::mem::take(&mut late_copy)).await?;
             let poison = self.lock().poison.clone();
             if let Some(poison) = poison.filter(|p| req.line.contains(&p.marker)) {
                 return self.crash(stream, req, poison.mode).await;
@@ -263,6 +306,9 @@
                 state.arrivals.push(Instant::now());
                 reply
             };
+            if let Reply::LateCopy { has_id } = reply {
+                late_copy = self.echo(&req, has_id);
+            }
             if !self.perform(stream, &req, reply).await? {
                 return Ok(());
             }
@@ -270,6 +316,20 @@
         Ok(())
     }
 
+    /// Returns the response to a request, which names it or not.
+    fn echo(&self, req: &ReceivedRequest, has_id: bool) -> Vec<u8> {
+        let id = req.header("attempt-id").unwrap_or_default();
+        let body = format!("{} {}", self.id, req.body.len());
+        let stamp = format!("Server-Stamp: {}\r\n", self.id);
+        let framed = frame(200, id, &stamp, &body);
+        if has_id {
+            return framed;
+        }
+        let text = String::from_utf8_lossy(&framed);
+        text.replace(&format!("Attempt-Id: {id}\r\n"), "")
+            .into_bytes()
+    }
+
     /// Begins the response as far as `mode` says, and ends the upstream.
     async fn crash(
         &self,
@@ -315,7 +375,9 @@
         let is_stream = stream_paths.iter().any(|p| req.line.contains(p));
         match reply {
             Reply::ByPath if is_stream => return self.stream(stream, req, 9, End::Complete).await,
-            Reply::Echo | Reply::ByPath => stream.write_all(&frame(200, id, &stamp, &body)).await?,
+            Reply::Echo | Reply::ByPath | Reply::LateCopy { .. } => {
+                stream.write_all(&frame(200, id, &stamp, &body)).await?;
+            }
             Reply::Status(code) => stream.write_all(&frame(code, id, &stamp, &body)).await?,
             Reply::NotRun(code) => {
                 let header = format!("Not-Executed: 1\r\n{said}");
@@ -343,6 +405,17 @@
             Reply::Stream(last) => return self.stream(stream, req, last, End::Complete).await,
             Reply::Cut(last) => return self.stream(stream, req, last, End::Cut).await,
             Reply::Stall(last) => return self.stream(stream, req, last, End::Stall).await,
+            Reply::SlowStream(last, gap) => {
+                let end = End::Complete;
+                return self.stream_events(stream, req, last, gap, end).await;
+            }
+            Reply::Trickle(last, bytes) => {
+                return self.stream(stream, req, last, End::Trickle(bytes)).await;
+            }
+            Reply::Endless(part, pace) => {
+                let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n{stamp}");
+                return endless::send(stream, &head, part, pace).await;
+            }
         }
         Ok(true)
     }
@@ -353,6 +426,18 @@
         req: &ReceivedRequest,
         last: u64,
         end: End,
+    ) -> io::Result<bool> {
+        self.stream_events(stream, req, last, EVENT_INTERVAL, end)
+            .await
+    }
+
+    async fn stream_events(
+        &self,
+        stream: &mut TcpStream,
+        req: &ReceivedRequest,
+        last: u64,
+        gap: Duration,
+        end: End,
     ) -> io::Result<bool> {
         let id = req.header("attempt-id").unwrap_or_default();
         let head = format!(
@@ -366,7 +451,7 @@
             .map_or(0, |v| v.parse().unwrap_or(0));
         for event in last_received + 1..=last {
             write_chunk(stream, &format!("id: {event}\ndata: piece {event}\n\n")).await?;
-            tokio::time::sleep(EVENT_INTERVAL).await;
+            tokio::time::sleep(gap).await;
         }
         match end {
             End::Complete => stream.write_all(b"0\r\n\r\n").await.map(|()| true),
@@ -375,6 +460,12 @@
                 write_chunk(stream, &partial).await.map(|()| false)
             }
             End::Stall => Ok(wait_closed(stream).await),
+            End::Trickle(bytes) => loop {
+                for byte in bytes.chars() {
+                    write_chunk(stream, &byte.to_string()).await?;
+                    tokio::time::sleep(TRICKLE_INTERVAL).await;
+                }
+            },
         }
     }
 }
@@ -403,6 +494,7 @@
     Complete,
     Cut,
     Stall,
+    Trickle(&'static str),
 }
 
 /// Waits until the peer closes the connection. Returns false: the connection cannot be reused.
