Take no answer without an id on a connection that was used before

Cause: a response that echoes another request's id was left out, but one that echoes none was taken.

Change: on a connection that was used before, a response has to echo the request's id. On a new one nothing can be late.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -114,7 +114,8 @@
         .is_idempotent()
         .then(|| cx.connections.take_idle(&target.id))
         .flatten();
-    let source = if idle.is_some() { "kept" } else { "opened" };
+    let is_kept = idle.is_some();
+    let source = if is_kept { "kept" } else { "opened" };
     let mut connection = match idle {
         Some(idle) => idle,
         None => connection_pool::open(&target.addr).await.map_err(|e| {
@@ -166,6 +167,14 @@
         );
         AttemptError::Broken
     })?;
+    if !belongs_to(request, &res, is_kept, &cx.names) {
+        log::info!(
+            "event=request_id_mismatch request={} upstream={} connection={source}",
+            request.id_for_log(),
+            target.id
+        );
+        return Err(AttemptError::Broken);
+    }
     check_response(&cx.names, request, target, res, connection, placement)
 }
 
@@ -245,6 +254,20 @@
     req
 }
 
+/// Returns whether a response is the one to the request, by the id that it echoes. On a connection that
+/// was used before, a response without any id may be a late copy of an earlier one.
+fn belongs_to(
+    request: &UpstreamRequest,
+    res: &Response<Incoming>,
+    is_kept: bool,
+    names: &HeaderNames,
+) -> bool {
+    match res.headers().get(&names.request_id) {
+        Some(echoed) => Some(echoed) == request.id.as_ref(),
+        None => !is_kept || request.id.is_none(),
+    }
+}
+
 fn check_response(
     names: &HeaderNames,
     request: &UpstreamRequest,
@@ -256,15 +279,6 @@
     placement.record_bytes();
     let (head, body) = res.into_parts();
     let body = CountedBody::new(body, &connection.counter);
-    let echoed = head.headers.get(&names.request_id);
-    if echoed.is_some() && echoed != request.id.as_ref() {
-        log::info!(
-            "event=request_id_mismatch request={} upstream={}",
-            request.id_for_log(),
-            target.id
-        );
-        return Err(AttemptError::Broken);
-    }
     statements::read(&head, names, placement);
     let status = head.status;
     if status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(&names.not_run) {
