Answer all connections that a stopping host has accepted

Three moments, each seen in what the caller got: connections that waited in the queue of the listener when it was closed (reset), connections just accepted whose first request had not arrived when the daemon began to close (ended without a byte), and those opened between the last accept and the close (reset).

Change: while the listener is closed, a filter on it drops requests for new connections, so that callers know that nothing was read; those being opened are finished and accepted, asked from the socket itself and not from the runtime's readiness. A new connection has 0.3 s for its first request, and holds the end of the process that long.

Where a filter can't be set the listener is closed as before, and a line says so.

--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -2,8 +2,10 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -25,43 +27,105 @@
 
 /// Number of file descriptors reserved for other uses than callers' connections.
 const RESERVED_FILES: usize = 1_200;
+/// Time within which the first request on a new connection arrives: callers are a few milliseconds away.
+const FIRST_REQUEST_TIME: Span = Span::from_millis(300);
+/// Time within which a connection that is being opened is open.
+const OPENING_TIME: Duration = Duration::from_millis(20);
 /// Smallest buffer for request heads that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Accepts callers' connections until the daemon is closing.
+/// Accepts callers' connections until the daemon is closing, and then those that wait to be accepted:
+/// their callers count on an answer.
 pub(crate) async fn accept(cx: Rc<Context>, listener: TcpListener, phase: watch::Receiver<Phase>) {
-    let open = Rc::new(Cell::new(0_usize));
-    let max_open = cx
-        .settings
-        .max_open_files
-        .saturating_sub(RESERVED_FILES)
-        .max(64);
-    let mut closing = phase.clone();
+    let callers = Callers {
+        open: Rc::new(Cell::new(0)),
+        max_open: cx
+            .settings
+            .max_open_files
+            .saturating_sub(RESERVED_FILES)
+            .max(64),
+        phase: phase.clone(),
+        cx,
+    };
+    let mut closing = phase;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|p| *p == Phase::Closing) => return,
+            _ = closing.wait_for(|p| *p == Phase::Closing) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => callers.admit(stream),
             Err(e) => {
                 log::warn!("event=accept_failed reason={e}");
                 tokio::task::yield_now().await;
-                continue;
             }
-        };
-        if open.get() >= max_open {
-            log::warn!("event=too_many_connections open={}", open.get());
-            continue;
         }
-        let open = open.clone();
+    }
+    if let Err(e) = callers.admit_last(listener).await {
+        log::warn!("event=accept_failed reason={e}");
+    }
+}
+
+/// Connections of callers.
+struct Callers {
+    cx: Rc<Context>,
+    open: Rc<Cell<usize>>,
+    max_open: usize,
+    phase: watch::Receiver<Phase>,
+}
+
+impl Callers {
+    /// Serves a connection, if not too many are open.
+    fn admit(&self, stream: TcpStream) {
+        if self.open.get() >= self.max_open {
+            log::warn!("event=too_many_connections open={}", self.open.get());
+            return;
+        }
+        let open = self.open.clone();
         open.set(open.get() + 1);
-        let (cx, phase) = (cx.clone(), phase.clone());
+        let (cx, phase) = (self.cx.clone(), self.phase.clone());
+        if *phase.borrow() != Phase::Serving {
+            expect_request(&cx);
+        }
         tokio::task::spawn_local(async move {
             serve(cx, stream, phase).await;
             open.set(open.get() - 1);
         });
     }
+
+    /// Serves the last connections and closes the listener.
+    async fn admit_last(&self, listener: TcpListener) -> io::Result<()> {
+        let listener = listener.into_std()?;
+        match sockets::stop_opening(&listener) {
+            Ok(()) => tokio::time::sleep(OPENING_TIME).await,
+            Err(e) => log::info!("event=listener_filter_failed reason={e}"),
+        }
+        self.admit_waiting(&listener)
+    }
+
+    /// Serves the connections that wait to be accepted. Asks the socket itself: the runtime may not know of
+    /// the latest ones yet.
+    fn admit_waiting(&self, listener: &std::net::TcpListener) -> io::Result<()> {
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream)?);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
+
+/// Keeps a stopping daemon from ending before the first request on a new connection can have arrived.
+fn expect_request(cx: &Rc<Context>) {
+    let expected = InProgress::new(cx);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(FIRST_REQUEST_TIME.into()).await;
+        drop(expected);
+    });
 }
 
 async fn serve(cx: Rc<Context>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
@@ -93,7 +157,7 @@
         let idle_at = activity.last_used_at.get() + idle_timeout(&cx);
         tokio::select! {
             _ = conn.as_mut() => return,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+            () = closes(&mut phase, &activity) => break,
             () = tokio::time::sleep_until(clock::instant(idle_at)) => {
                 let idle = activity.in_progress.get() == 0;
                 if idle && clock::now() >= activity.last_used_at.get() + idle_timeout(&cx) {
@@ -109,6 +173,15 @@
     let _ended_by_either_side = conn.await;
 }
 
+/// Waits until the daemon is closing and the first request on the connection has begun or can no longer be
+/// expected.
+async fn closes(phase: &mut watch::Receiver<Phase>, activity: &Activity) {
+    let _sender_is_held = phase.wait_for(|p| *p == Phase::Closing).await;
+    if !activity.has_begun.get() {
+        tokio::time::sleep_until(clock::instant(activity.opened_at + FIRST_REQUEST_TIME)).await;
+    }
+}
+
 fn idle_timeout(cx: &Context) -> Span {
     let state = cx.state.borrow();
     let limits = state.routes.as_ref().map(|r| r.cfg().limits);
@@ -117,6 +190,9 @@
 
 /// Activity on a connection, for its idle timeout.
 struct Activity {
+    opened_at: Time,
+    /// True once a request has begun.
+    has_begun: Cell<bool>,
     last_used_at: Cell<Time>,
     in_progress: Cell<usize>,
 }
@@ -124,6 +200,8 @@
 impl Default for Activity {
     fn default() -> Activity {
         Activity {
+            opened_at: clock::now(),
+            has_begun: Cell::new(false),
             last_used_at: Cell::new(clock::now()),
             in_progress: Cell::new(0),
         }
@@ -138,6 +216,7 @@
 
 impl ActiveRequest {
     fn new(cx: &Rc<Context>, activity: &Rc<Activity>) -> ActiveRequest {
+        activity.has_begun.set(true);
         activity.in_progress.set(activity.in_progress.get() + 1);
         ActiveRequest {
             activity: activity.clone(),
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use nix::libc;
+use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Idle time after which keepalive probes are sent.
@@ -14,6 +15,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which sent bytes must be acknowledged.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Place of the flags in a TCP header.
+const TCP_FLAGS_OFFSET: u32 = 13;
+const TCP_SYN: u32 = 0x02;
+const TCP_SYN_ACK: u32 = 0x12;
 /// Number of connections that may wait to be accepted; a full queue delays callers by seconds.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
@@ -37,6 +42,32 @@
     Ok(stream)
 }
 
+/// Lets no further connection be opened to the listener, while those that are being opened may be finished
+/// and accepted. A caller whose connection is opened right before the listener closes would be reset
+/// without knowing whether its request was read; one whose connection isn't opened knows that it was not.
+pub(crate) fn stop_opening(listener: &std::net::TcpListener) -> io::Result<()> {
+    let instruction = |code: u32, jt, jf, k| SockFilter::new(code as u16, jt, jf, k);
+    // Drops segments that ask for a connection: of the two flags, SYN is set and ACK is not.
+    let filter = [
+        instruction(
+            libc::BPF_LD | libc::BPF_B | libc::BPF_ABS,
+            0,
+            0,
+            TCP_FLAGS_OFFSET,
+        ),
+        instruction(
+            libc::BPF_ALU | libc::BPF_AND | libc::BPF_K,
+            0,
+            0,
+            TCP_SYN_ACK,
+        ),
+        instruction(libc::BPF_JMP | libc::BPF_JEQ | libc::BPF_K, 0, 1, TCP_SYN),
+        instruction(libc::BPF_RET | libc::BPF_K, 0, 0, 0),
+        instruction(libc::BPF_RET | libc::BPF_K, 0, 0, u32::MAX),
+    ];
+    SockRef::from(listener).attach_filter(&filter)
+}
+
 /// Listens on `addr`.
 pub(crate) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
