Charge what hosts of other data centres used while summaries were lost

The limiter in virtual time, 295 hosts in six data centres, shows a way: what a relay reports after a gap of a second or more was not charged, as the usage of a host that kept to its own share. But hosts of other data centres count as unreachable only after 1.5 s: in between all used the whole limit. Three summaries of a relay lost in a row are enough, and they are datagrams of some kilobytes at this size.

Change: for relayed reports the gap is longer than the time after which their hosts count as unreachable.

--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -24,8 +24,11 @@
 const MAX_REPORT_AGE: Span = Span::from_millis(1_600);
 /// Age of its last report after which a reporter is removed.
 const REPORTER_TTL: Span = Span::from_millis(30_000);
-/// Gap between two reports at which the reporter counts as unreachable in between.
+/// Gap between two reports at which the reporter counts as unreachable in between. Longer than the time
+/// after which it does for the share of the limits: what it used before that came from the whole.
 const UNREACHABLE_GAP: Span = Span::from_millis(1_000);
+/// The same gap for reports on behalf of others, which come less often and of which several may be lost.
+const RELAYED_UNREACHABLE_GAP: Span = Span::from_millis(1_600);
 /// Time for which usage counts as recent. It is reported for that long because some heartbeats are
 /// lost.
 const RECENT_USAGE: Span = Span::from_millis(1_000);
@@ -353,7 +356,7 @@
 
     /// Charges the usage that another host reports directly, and adds it to the nearby usage.
     pub fn record_usage(&mut self, reporter: Reporter, reports: &[UsageReport], now: Time) {
-        for (subject, used) in self.charge_reported(reporter, reports, now) {
+        for (subject, used) in self.charge_reported(reporter, reports, UNREACHABLE_GAP, now) {
             let nearby = self.nearby.entry(subject).or_default();
             nearby.add(used, now);
         }
@@ -362,16 +365,17 @@
     /// Charges the usage that a host reports on behalf of hosts that don't report to this one
     /// directly.
     pub fn record_relayed_usage(&mut self, reporter: Reporter, reports: &[UsageReport], now: Time) {
-        self.charge_reported(reporter, reports, now);
+        self.charge_reported(reporter, reports, RELAYED_UNREACHABLE_GAP, now);
     }
 
     /// Charges reported usage and returns what had not been reported before, by subject. At a
     /// reporter's first report, a host that has just started lowers its levels to the reported ones
-    /// instead.
+    /// instead. After a gap of `unreachable_gap` the usage in between is not charged.
     fn charge_reported(
         &mut self,
         reporter: Reporter,
         reports: &[UsageReport],
+        unreachable_gap: Span,
         now: Time,
     ) -> Vec<(u64, u64)> {
         let previous = self.reporters.get(&reporter.id).map(|r| r.reported_at);
@@ -386,7 +390,7 @@
         self.advance_decay(elapsed, reporter.hosts);
         let mut newly_used = Vec::new();
         // What a host used while it was unreachable came from its own share.
-        let was_unreachable = previous.is_none() || elapsed >= UNREACHABLE_GAP;
+        let was_unreachable = previous.is_none() || elapsed >= unreachable_gap;
         for r in reports {
             let unreported = if was_unreachable { 0 } else { r.recent };
             let reported = self.reported.entry((reporter.id, r.subject));
