--- a/stoatjunction_core/src/entry/follower_election.rs
+++ b/stoatjunction_core/src/entry/follower_election.rs
@@ -3,7 +3,7 @@
 //! Calls to the store are billed and its rates are shared by all hosts, so few hosts follow it: those
 //! with the lowest numbers of the reachable ones, which all hosts know without a vote. The others step
 //! in one after the other while these get no response. Without that order a store that cuts its watches
-//! makes a whole fleet list anew at once, which happened at 295 hosts: some 800 calls in eight seconds
+//! makes a whole fleet list anew at once, which happened at 295 hosts: hundreds of calls in eight seconds
 //! from 50 hosts of which two were to follow.
 
 use crate::time::{Span, Time};
