Log which configuration refused a request, where it came from and how long the store was silent

The report of a late configuration could not be told apart by logs: a refusal named no version, a version no source, a failed watch no time. No logic changed.

--- a/stoatjunction_entry/src/catch_up.rs
+++ b/stoatjunction_entry/src/catch_up.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock;
 use crate::followers;
 use crate::heartbeat::{self, StateVersion};
 use crate::snapshot;
@@ -50,8 +51,14 @@
     if !must_fetch {
         return;
     }
-    if let Err(e) = snapshot::fetch(&cx, peer).await {
-        log::info!("event=snapshot_fetch_failed from={peer} reason={e}");
+    let began = clock::now();
+    let fetched = snapshot::fetch(&cx, peer).await;
+    let took_ms = clock::now().since(began).as_millis();
+    match fetched {
+        Ok(()) => log::info!("event=snapshot_fetched from={peer} took_ms={took_ms}"),
+        Err(e) => {
+            log::info!("event=snapshot_fetch_failed from={peer} took_ms={took_ms} reason={e}")
+        }
     }
     cx.state.borrow_mut().is_fetching_snapshot = false;
 }
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -59,18 +59,27 @@
         Err(refusal) => {
             counted.count("refused", &refusal.code.number().to_string());
             let shown_id = id.as_ref().and_then(|i| i.to_str().ok());
+            let (version, version_age) = configuration_in_force(&cx);
             log::info!(
-                "event=refused request={} code={} reason={} after_ms={}",
+                "event=refused request={} code={} reason={} after_ms={} version={version} version_age_ms={}",
                 shown_id.unwrap_or("-"),
                 refusal.code,
                 refusal.code.slug(),
-                clock::now().since(arrived).as_millis()
+                clock::now().since(arrived).as_millis(),
+                version_age.as_millis()
             );
             refusal.response(&cx.names, id.as_ref())
         }
     }
 }
 
+/// Returns the version of the configuration, 0 for none, and how long it has been in force here.
+fn configuration_in_force(cx: &Context) -> (u64, Span) {
+    let state = cx.state.borrow();
+    let version = state.routes.as_ref().map_or(0, |r| r.cfg().version);
+    (version, clock::now().since(state.configured_at))
+}
+
 async fn respond(
     cx: &Rc<Context>,
     req: Request<CountedBody>,
--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -16,7 +16,7 @@
 
 use crate::clock;
 use crate::sockets;
-use crate::state::Context;
+use crate::state::{ConfigurationSource, Context};
 
 /// Timeout for transferring a snapshot.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -85,7 +85,7 @@
     let exchange = tokio::time::timeout(TRANSFER_TIMEOUT, request(&addr)).await;
     let snapshot = exchange.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     if let Some(cfg) = snapshot.cfg {
-        cx.apply_configuration(cfg);
+        cx.apply_configuration(cfg, ConfigurationSource::Host(peer));
     }
     if !snapshot.has_list {
         return Ok(());
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of the daemon share.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -39,6 +40,22 @@
     Closing,
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConfigurationSource {
+    Store,
+    Host(IpAddr),
+}
+
+impl fmt::Display for ConfigurationSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigurationSource::Store => f.write_str("store"),
+            ConfigurationSource::Host(ip) => ip.fmt(f),
+        }
+    }
+}
+
 /// Another host, with its last report.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
@@ -72,6 +89,8 @@
 pub(crate) struct SharedState {
     pub(crate) phase: Phase,
     pub(crate) routes: Option<Rc<RouteTable>>,
+    /// Time at which the current configuration came into force here.
+    pub(crate) configured_at: Time,
     pub(crate) upstream_list: UpstreamList,
     pub(crate) has_list: bool,
     pub(crate) schedulers: IndexMap<String, ServiceScheduler>,
@@ -144,6 +163,7 @@
         let mut state = SharedState {
             phase: Phase::Serving,
             routes: None,
+            configured_at: now,
             upstream_list: UpstreamList::default(),
             has_list: false,
             schedulers: IndexMap::new(),
@@ -191,7 +211,11 @@
     }
 
     /// Applies a configuration and returns true if it is newer than the current one.
-    pub(crate) fn apply_configuration(&self, cfg: Configuration) -> bool {
+    pub(crate) fn apply_configuration(
+        &self,
+        cfg: Configuration,
+        source: ConfigurationSource,
+    ) -> bool {
         let mut state = self.state.borrow_mut();
         let known = state.routes.as_ref().map(|r| r.cfg().version);
         if known.is_some_and(|v| v >= cfg.version) {
@@ -199,7 +223,7 @@
         }
         let now = clock::now();
         log::info!(
-            "event=configuration_applied version={} routes={} organisations={}",
+            "event=configuration_applied version={} from={source} routes={} organisations={}",
             cfg.version,
             cfg.routes.len(),
             cfg.organisations.len()
@@ -209,6 +233,7 @@
             state.rate_limiter.set_limit(id, o.rate, o.burst, now);
         }
         state.routes = Some(Rc::new(RouteTable::new(cfg)));
+        state.configured_at = now;
         state.update_pools(&self.settings.dc, self.boot, now);
         drop(state);
         self.gossip_wakeup.notify_one();
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -15,7 +15,7 @@
 
 use crate::clock;
 use crate::followers;
-use crate::state::Context;
+use crate::state::{ConfigurationSource, Context};
 
 /// Backoff after the first failed request.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -206,13 +206,24 @@
             log::info!("event=store_history_gone topic={topic:?} call={call}");
         }
         Some(e) => {
-            log::info!("event=store_request_failed topic={topic:?} call={call} reason={e}");
+            log::info!(
+                "event=store_request_failed topic={topic:?} call={call} role={} silent_ms={} reason={e}",
+                role.label(),
+                silence(cx, topic).map_or_else(|| "-".to_owned(), |s| s.as_millis().to_string()),
+            );
             cx.state.borrow_mut().store_failed_at = Some(clock::now());
             set_answered(cx, topic, None);
         }
     }
 }
 
+/// Returns the time since the store's last response on a topic, if there was one.
+fn silence(cx: &Context, topic: Topic) -> Option<Span> {
+    let state = cx.state.borrow();
+    let answered_at = state.store_answered_at.get(topic as usize)?;
+    answered_at.map(|at| clock::now().since(at))
+}
+
 fn set_answered(cx: &Context, topic: Topic, at: Option<Time>) {
     let answered_at = &mut cx.state.borrow_mut().store_answered_at;
     if let Some(answered_at) = answered_at.get_mut(topic as usize) {
@@ -291,7 +302,7 @@
     for change in changes.changes {
         match change {
             Change::Configuration(cfg) => {
-                cx.apply_configuration(cfg);
+                cx.apply_configuration(cfg, ConfigurationSource::Store);
             }
             Change::Upstream { id, entry } => {
                 has_changed |= cx.state.borrow_mut().upstream_list.upsert(&id, entry);
