--- a/stoatjunction_standin/src/metadata_store.rs
+++ b/stoatjunction_standin/src/metadata_store.rs
@@ -47,6 +47,10 @@
     /// Number of times that the store came back from a copy.
     era: u64,
     mode: ResponseMode,
+    /// Number of times that all open connections went silent.
+    silences: u64,
+    /// Kind and revision of each watch that waits.
+    watches: Vec<(String, u64)>,
     calls: u64,
 }
 
@@ -94,12 +98,29 @@
         self.lock().calls
     }
 
+    /// Returns the number of watches on a kind that wait for its next change.
+    pub fn waiting_watches(&self, kind: &str) -> usize {
+        let state = self.lock();
+        let changes = state.data.history.iter().filter(|(_, k, _)| k == kind);
+        let newest = changes.map(|(revision, _, _)| *revision).max().unwrap_or(0);
+        let watches = state.watches.iter();
+        watches
+            .filter(|(k, since)| k == kind && *since >= newest)
+            .count()
+    }
+
     /// Changes how the store responds to new requests. Pending requests are not affected.
     pub fn set_response_mode(&self, mode: ResponseMode) {
         self.lock().mode = mode;
         self.changed.notify_waiters();
     }
 
+    /// Lets all requests in progress go without a response, as if their connections were dead without a
+    /// reset. New ones are answered.
+    pub fn silence_connections(&self) {
+        self.lock().silences += 1;
+    }
+
     /// Writes an object and returns its revision.
     pub fn put(&self, kind: &str, name: &str, specification: Value) -> u64 {
         let mut state = self.lock();
@@ -165,8 +186,14 @@
     }
 
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
-        let era = self.lock().era;
+        let (era, silences) = {
+            let state = self.lock();
+            (state.era, state.silences)
+        };
         let mut res = self.respond(req).await;
+        if silences != self.lock().silences {
+            std::future::pending::<()>().await;
+        }
         // A watch that waits while the store comes back from a copy is cut off, like its connection.
         let now = self.lock().era;
         if era != now {
@@ -258,6 +285,7 @@
     async fn watch(&self, kind: &str, since: u64, wait_ms: Option<u64>) -> Response<Body> {
         let wait = Duration::from_millis(wait_ms.unwrap_or(0).min(MAX_WAIT_MS));
         let deadline = tokio::time::Instant::now() + wait;
+        let _waiting = WaitingWatch::new(self, kind, since);
         loop {
             let notified = self.changed.notified();
             if let Some(res) = self.events(kind, since) {
@@ -288,6 +316,30 @@
     }
 }
 
+/// Counts a watch as waiting until it is dropped.
+struct WaitingWatch<'a> {
+    store: &'a MetadataStore,
+    watch: (String, u64),
+}
+
+impl<'a> WaitingWatch<'a> {
+    fn new(store: &'a MetadataStore, kind: &str, since: u64) -> WaitingWatch<'a> {
+        let watch = (kind.to_owned(), since);
+        store.lock().watches.push(watch.clone());
+        WaitingWatch { store, watch }
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        let mut state = self.store.lock();
+        let index = state.watches.iter().position(|w| *w == self.watch);
+        if let Some(index) = index {
+            state.watches.swap_remove(index);
+        }
+    }
+}
+
 fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let pairs = query.split('&').filter_map(|p| p.split_once('='));
     pairs.filter(|(k, _)| *k == name).map(|(_, v)| v).next()
