Replace a watch on a dead connection within the time in which a configuration is due

Callers saw a confirmed configuration not in force: refused with 404 as an older version says, over 2 s after its acknowledgement (CONFIG, DENIED).

Cause: a watch waited 4 s for changes and its response 1.5 s more, 5.5 s on a connection that had died without a reset, while the promise holds again after 3 s. All hosts begin their watches in the same moment, right after a change, so that none learned of the next one for the others. No place added these times up. Broken on landings with and without the follower election.

Fix: core module propagation divides the promise (configuration-ms, stable-window-ms, now read from the settings) among the parts of the way, and a test adds them up for the bounds of all deployments. A watch waits 0.45 of the stable window and its response 0.25 of it: 2.1 s for 3 s.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod poison_requests;
 pub mod pool;
 pub mod prompt_cache;
+pub mod propagation;
 pub mod queue;
 pub mod rate_limiter;
 pub mod retry_budget;
--- /dev/null
+++ b/stoatjunction_core/src/entry/propagation.rs
@@ -0,0 +1,57 @@
+//! Times of the way by which a confirmed configuration reaches every host.
+//!
+//! The promise is one time for the whole way, and the way has many parts: watches, their responses, other
+//! hosts. Each part gets a share of the promise here and nowhere else, so that the sums can be checked.
+
+use crate::time::Span;
+
+/// Longest time to list the store anew after a failed watch: the pause before it and the response.
+const RELIST: Span = Span::from_millis(250);
+
+/// What the operators promise of configurations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PropagationBounds {
+    /// Time after its acknowledgement within which a configuration is in force.
+    pub in_force: Span,
+    /// Time after an impairment from which on the promise holds again.
+    pub stable: Span,
+}
+
+impl Default for PropagationBounds {
+    fn default() -> PropagationBounds {
+        PropagationBounds {
+            in_force: Span::from_millis(2_000),
+            stable: Span::from_millis(3_000),
+        }
+    }
+}
+
+/// Shares of the promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PropagationTimes {
+    /// Time for which a watch waits for changes. Only its response shows that its connection lives, and
+    /// a connection may die without a reset.
+    pub watch_wait: Span,
+    /// Time after that within which the response must arrive; a slow store needs a few hundred milliseconds.
+    pub watch_margin: Span,
+}
+
+impl PropagationTimes {
+    /// Divides the promise among the parts of the way.
+    pub fn new(bounds: PropagationBounds) -> PropagationTimes {
+        PropagationTimes {
+            watch_wait: part(bounds.stable, 0.45),
+            watch_margin: part(bounds.stable, 0.25),
+        }
+    }
+
+    /// Returns the longest time from the moment at which a watch's connection dies until its host has listed
+    /// the store anew.
+    pub fn after_dead_connection(&self) -> Span {
+        self.watch_wait + self.watch_margin + RELIST
+    }
+}
+
+fn part(span: Span, share: f64) -> Span {
+    Span::from_secs_f64(span.as_secs_f64() * share)
+}
--- /dev/null
+++ b/stoatjunction_core/tests/entry_propagation.rs
@@ -0,0 +1,28 @@
+//! The parts of the way of a configuration together keep the promise.
+
+use stoatjunction_core::entry::propagation::{PropagationBounds, PropagationTimes};
+use stoatjunction_core::time::Span;
+use yare::parameterized;
+
+fn bounds(in_force_ms: u64, stable_ms: u64) -> PropagationBounds {
+    PropagationBounds {
+        in_force: Span::from_millis(in_force_ms),
+        stable: Span::from_millis(stable_ms),
+    }
+}
+
+#[parameterized(
+    small = { 2_000, 3_000 },
+    grown = { 3_000, 4_000 },
+    large = { 4_000, 5_000 },
+)]
+fn a_dead_connection_to_the_store_is_replaced_within_the_stable_window(
+    in_force_ms: u64,
+    stable_ms: u64,
+) {
+    let bounds = bounds(in_force_ms, stable_ms);
+
+    let times = PropagationTimes::new(bounds);
+
+    assert!(times.after_dead_connection() < bounds.stable);
+}
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use stoatjunction_core::entry::propagation::PropagationBounds;
 use stoatjunction_core::entry::rate_limiter::Tolerance;
 use stoatjunction_core::entry::retry_budget::RetryBudgetConfig;
 use stoatjunction_core::time::Span;
@@ -36,6 +37,8 @@
     pub tolerance: Tolerance,
     /// Time after which a leaving upstream must get no more work.
     pub drain: Span,
+    /// Promise on configurations.
+    pub propagation: PropagationBounds,
     /// Time from SIGTERM until the process must have exited.
     pub grace: Duration,
     /// Maximum number of open files of the process.
@@ -63,6 +66,7 @@
             },
             tolerance: Tolerance::default(),
             drain: Span::from_millis(2_000),
+            propagation: PropagationBounds::default(),
             grace: Duration::from_secs(8),
             max_open_files: 4_096,
         }
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -9,6 +9,7 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::poison_requests::Crash;
+use stoatjunction_core::entry::propagation::PropagationTimes;
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
 use stoatjunction_core::time::{Span, Time};
 use thiserror::Error;
@@ -26,6 +27,8 @@
 /// Pause after changes of upstreams, to batch further ones: each request is billed, and many
 /// upstreams write at about the same time. The pause uses up part of the drain time.
 const BATCH_DELAY: Duration = Duration::from_millis(350);
+/// Time for which a watch waits for crashes.
+const CRASHES_WAIT: Duration = Duration::from_secs(15);
 /// Part of the drain time by which removals are delayed at most.
 const MAX_DELAY_PART: f64 = 0.55;
 /// Interval for checking whether this host has to follow the store itself.
@@ -56,16 +59,29 @@
         }
     }
 
-    /// Longest time that a watch waits for changes; a lost response is detected soon after. Crashes
-    /// mostly arrive from other hosts, and each request to the store is billed.
-    fn watch_timeout(self) -> Duration {
-        match self {
-            Topic::Configuration | Topic::Upstreams => Duration::from_secs(4),
-            Topic::Crashes => Duration::from_secs(15),
+    /// Returns the times of a watch. Crashes mostly arrive from other hosts, and each request to the
+    /// store is billed.
+    fn watch_times(self, times: &PropagationTimes) -> WatchTimes {
+        let wait = match self {
+            Topic::Configuration | Topic::Upstreams => times.watch_wait.into(),
+            Topic::Crashes => CRASHES_WAIT,
+        };
+        WatchTimes {
+            wait,
+            margin: times.watch_margin.into(),
         }
     }
 }
 
+/// Times of a watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTimes {
+    /// Time for which the store waits for changes.
+    pub wait: Duration,
+    /// Time after that within which its response must arrive.
+    pub margin: Duration,
+}
+
 /// A change in the store.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -121,12 +137,12 @@
     /// Returns all current entries of a topic.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<Changes, StoreError>>;
 
-    /// Returns the changes of a topic since a revision, as soon as there are any or after `wait`.
+    /// Returns the changes of a topic since a revision, as soon as there are any or after the wait.
     fn watch(
         &self,
         topic: Topic,
         since: u64,
-        wait: Duration,
+        times: WatchTimes,
     ) -> impl Future<Output = Result<Changes, StoreError>>;
 
     /// Writes a crash that was seen `age` ago. Succeeds if it is there already.
@@ -236,12 +252,13 @@
 where
     S: Store,
 {
+    let times = topic.watch_times(&PropagationTimes::new(cx.settings.propagation));
     loop {
         let role = followers::role(cx);
         if !role.follows() {
             return;
         }
-        let watched = store.watch(topic, revision, topic.watch_timeout()).await;
+        let watched = store.watch(topic, revision, times).await;
         record_call(cx, topic, "watch", role, watched.as_ref().err());
         let Ok(changes) = watched else { return };
         revision = revision.max(changes.revision);
