Ask another host for a configuration beside one that does not answer

Cause: a host waited 0.5 s for its own store, then asked the host whose report came first for up to 1.5 s, and dropped what the others offered meanwhile. The same class as the dead watch: a promise in time that no place adds up.

Lists keep their 0.5 s, since hosts pause between watches on them.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -21,6 +21,7 @@
 pub mod retry_budget;
 pub mod route_table;
 pub mod slot_allocation;
+pub mod snapshot_fetches;
 pub mod upstream;
 pub mod upstream_limits;
 pub mod upstream_list;
--- a/stoatjunction_core/src/entry/propagation.rs
+++ b/stoatjunction_core/src/entry/propagation.rs
@@ -8,6 +8,11 @@
 /// Longest time to list the store anew after a failed watch: the pause before it and the response.
 const RELIST: Span = Span::from_millis(250);
 
+/// Longest interval between two reports of a host on its state.
+pub const REPORT_INTERVAL: Span = Span::from_millis(250);
+/// Time to fetch a snapshot from a host that answers.
+const FETCH: Span = Span::from_millis(150);
+
 /// What the operators promise of configurations.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PropagationBounds {
@@ -34,6 +39,10 @@
     pub watch_wait: Span,
     /// Time after that within which the response must arrive; a slow store needs a few hundred milliseconds.
     pub watch_margin: Span,
+    /// Time for which a host leaves a newer configuration to its own watch before it asks another host.
+    pub own_watch_wait: Span,
+    /// Time after which a host asks another one beside a host that has not answered.
+    pub fetch_patience: Span,
 }
 
 impl PropagationTimes {
@@ -42,6 +51,8 @@
         PropagationTimes {
             watch_wait: part(bounds.stable, 0.45),
             watch_margin: part(bounds.stable, 0.25),
+            own_watch_wait: part(bounds.in_force, 0.1),
+            fetch_patience: part(bounds.in_force, 0.15),
         }
     }
 
@@ -50,6 +61,13 @@
     pub fn after_dead_connection(&self) -> Span {
         self.watch_wait + self.watch_margin + RELIST
     }
+
+    /// Returns the longest time from the moment at which other hosts have a configuration until a host has it
+    /// whose own watch is silent, when the first host that it asks freezes.
+    pub fn past_frozen_host(&self) -> Span {
+        let offered = REPORT_INTERVAL + self.own_watch_wait;
+        offered + self.fetch_patience + offered + FETCH
+    }
 }
 
 fn part(span: Span, share: f64) -> Span {
--- a/stoatjunction_core/tests/entry_propagation.rs
+++ b/stoatjunction_core/tests/entry_propagation.rs
@@ -26,3 +26,16 @@
 
     assert!(times.after_dead_connection() < bounds.stable);
 }
+
+#[parameterized(
+    small = { 2_000, 3_000 },
+    grown = { 3_000, 4_000 },
+    large = { 4_000, 5_000 },
+)]
+fn a_host_that_asks_a_frozen_host_has_the_configuration_in_time(in_force_ms: u64, stable_ms: u64) {
+    let bounds = bounds(in_force_ms, stable_ms);
+
+    let times = PropagationTimes::new(bounds);
+
+    assert!(times.past_frozen_host() < bounds.in_force);
+}
--- a/stoatjunction_entry/src/catch_up.rs
+++ b/stoatjunction_entry/src/catch_up.rs
@@ -5,14 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use stoatjunction_core::entry::propagation::PropagationTimes;
+
 use crate::clock;
 use crate::followers;
 use crate::heartbeat::{self, StateVersion};
 use crate::snapshot;
 use crate::state::{Context, SharedState};
 
-/// Time for which a host that follows the store waits for it before it asks another host.
-const OWN_STORE_WAIT: Duration = Duration::from_millis(500);
+/// Time for which a host that follows the store leaves a newer list to its own watch, longer than the pause
+/// between two watches on the list.
+const OWN_LIST_WAIT: Duration = Duration::from_millis(500);
 
 /// Compares the state version of another host with this one's, and fetches a snapshot if that
 /// host's is newer.
@@ -35,8 +38,9 @@
 }
 
 async fn catch_up(cx: Rc<Context>, peer: IpAddr, peer_version: StateVersion) {
+    let times = PropagationTimes::new(cx.settings.propagation);
     if followers::must_follow(&cx) {
-        tokio::time::sleep(OWN_STORE_WAIT).await;
+        tokio::time::sleep(own_watch_wait(&cx, &times, peer_version)).await;
     }
     let must_fetch = {
         let mut state = cx.state.borrow_mut();
@@ -44,9 +48,11 @@
         let differs = own.config < peer_version.config
             || own.digest != peer_version.digest
             || lacks_list(&state, peer_version);
-        let is_fetching = state.is_fetching_snapshot;
-        state.is_fetching_snapshot = is_fetching || differs;
-        differs && !is_fetching
+        let patience = times.fetch_patience;
+        differs
+            && state
+                .snapshot_fetches
+                .try_begin(peer, patience, clock::now())
     };
     if !must_fetch {
         return;
@@ -57,8 +63,17 @@
     match fetched {
         Ok(()) => log::info!("event=snapshot_fetched from={peer} took_ms={took_ms}"),
         Err(e) => {
-            log::info!("event=snapshot_fetch_failed from={peer} took_ms={took_ms} reason={e}")
+            log::info!("event=snapshot_fetch_failed from={peer} took_ms={took_ms} reason={e}");
         }
     }
-    cx.state.borrow_mut().is_fetching_snapshot = false;
+    cx.state.borrow_mut().snapshot_fetches.end(peer);
+}
+
+/// Returns the time in which this host's own watch should bring what the other host has.
+fn own_watch_wait(cx: &Context, times: &PropagationTimes, peer_version: StateVersion) -> Duration {
+    let own = heartbeat::state_version(&cx.state.borrow());
+    match peer_version.config > own.config {
+        true => times.own_watch_wait.into(),
+        false => OWN_LIST_WAIT,
+    }
 }
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use stoatjunction_core::entry::poison_requests::CrashReport;
 use stoatjunction_core::entry::pool::DataCentreHosts;
+use stoatjunction_core::entry::propagation::REPORT_INTERVAL;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
 use stoatjunction_core::time::{Span, Time};
 use tokio::net::UdpSocket;
@@ -25,8 +26,6 @@
 /// Receivers up to which the shortest interval applies. With more it grows in proportion, since
 /// each receiver costs processor time.
 const RECEIVERS_AT_MIN_INTERVAL: f64 = 8.0;
-/// Interval between heartbeats when nothing changes.
-const MAX_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the start in which a host that knows no other contacts the seeds at the shortest
 /// interval.
 const SEED_CONTACT_TIME: Span = Span::from_millis(3_000);
@@ -64,11 +63,11 @@
         let wait = if is_alone(&cx) {
             MIN_INTERVAL
         } else {
-            MAX_INTERVAL
+            REPORT_INTERVAL.into()
         };
         let _either = tokio::time::timeout(wait, cx.gossip_wakeup.notified()).await;
         let has_new_host = std::mem::take(&mut cx.state.borrow_mut().pending_updates.has_new_host);
-        let is_due = clock::now().since(last_full) >= Span::from(MAX_INTERVAL);
+        let is_due = clock::now().since(last_full) >= REPORT_INTERVAL;
         let full = is_due || has_new_host || is_alone(&cx);
         update_rate_limits(&cx);
         if full {
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -14,6 +14,7 @@
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
 use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
 use stoatjunction_core::entry::route_table::RouteTable;
+use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::upstream_list::UpstreamList;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
@@ -111,8 +112,7 @@
     pub(crate) data_centres: usize,
     /// Time after which a leaving upstream must get no more work.
     pub(crate) drain: Span,
-    /// True while the snapshot of another host is being fetched.
-    pub(crate) is_fetching_snapshot: bool,
+    pub(crate) snapshot_fetches: SnapshotFetches,
     longest_deadlines: IndexMap<String, Span>,
     pub(crate) next_request_id: RequestId,
 }
@@ -179,7 +179,7 @@
             follower_election: FollowerElection::default(),
             data_centres: 1,
             drain: settings.drain,
-            is_fetching_snapshot: false,
+            snapshot_fetches: SnapshotFetches::default(),
             longest_deadlines: IndexMap::new(),
             next_request_id: 0,
         };
