Step in for hosts that follow the store as soon as its response is overdue

Cause: since the election of followers one that met silence counted as following for six seconds, so that the served host, a reader, asked nothing.

Fix: a response that is overdue says so at once. A test adds up the way to the last host that steps in, for the bounds of all deployments. Hosts of small fleets, where nobody depends on another's watch, have a role of their own.

--- a/stoatjunction_core/src/entry/follower_election.rs
+++ b/stoatjunction_core/src/entry/follower_election.rs
@@ -14,11 +14,12 @@
 const FLEET_FOLLOWERS: usize = 4;
 /// Time without enough followers after which others step in, enough for one that lost its watch to list
 /// anew and to say so.
-const STEP_IN_DELAY: Span = Span::from_millis(400);
+const STEP_IN_DELAY: Span = Span::from_millis(300);
 /// Further delay of each host after the one before it.
 const STEP_IN_INTERVAL: Span = Span::from_millis(50);
-/// Longest delay: the bounds of the configuration are a few seconds.
-const MAX_STEP_IN_DELAY: Span = Span::from_millis(1_200);
+/// Hosts that step in one by one. Behind them twice as many do in each further two intervals: when so
+/// many have met no response, the last host must not come too late for the configuration.
+const SINGLE_STEPS: u32 = 8;
 
 /// Another host that may follow the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,8 @@
 /// Whether this host follows the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
+    /// It follows the store for itself, like all hosts of a small fleet.
+    Independent,
     /// It gets the state from other hosts.
     Reader,
     /// It is one of those that follow the store for the others.
@@ -49,6 +52,7 @@
     /// Returns the name of the role in logs and metrics.
     pub const fn label(self) -> &'static str {
         match self {
+            Role::Independent => "independent",
             Role::Reader => "reader",
             Role::Follower => "follower",
             Role::StandIn(_) => "stand_in",
@@ -61,6 +65,14 @@
     FLEET_FOLLOWERS.div_ceil(data_centres.max(1))
 }
 
+/// Returns the time without enough followers after which the host this many places behind them steps in.
+pub fn step_in_delay(place: u32) -> Span {
+    let single = place.min(SINGLE_STEPS);
+    let doublings = f64::from(place.max(SINGLE_STEPS)) / f64::from(SINGLE_STEPS);
+    let intervals = f64::from(single) + 2.0 * doublings.log2();
+    STEP_IN_DELAY + Span::from_secs_f64(STEP_IN_INTERVAL.as_secs_f64() * intervals)
+}
+
 /// This host's part in the election.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FollowerElection {
@@ -84,7 +96,11 @@
                 following += usize::from(other.follows);
             }
         }
-        if hosts <= FEW_HOSTS || before < wanted {
+        if hosts <= FEW_HOSTS {
+            *self = FollowerElection::default();
+            return Role::Independent;
+        }
+        if before < wanted {
             *self = FollowerElection::default();
             return Role::Follower;
         }
@@ -94,8 +110,7 @@
         }
         let place = (before - wanted) as u32;
         let since = *self.lacking_since.get_or_insert(now);
-        let delay = STEP_IN_DELAY + Span(STEP_IN_INTERVAL.0 * u64::from(place));
-        self.stands_in |= now.since(since) >= delay.min(MAX_STEP_IN_DELAY);
+        self.stands_in |= now.since(since) >= step_in_delay(place);
         match self.stands_in {
             true => Role::StandIn(place + 1),
             false => Role::Reader,
--- a/stoatjunction_core/tests/entry_propagation.rs
+++ b/stoatjunction_core/tests/entry_propagation.rs
@@ -27,6 +27,24 @@
     assert!(times.after_dead_connection() < bounds.stable);
 }
 
+#[parameterized(
+    eleven_hosts = { 2_000, 3_000, 6 },
+    twenty_four_hosts = { 2_000, 3_000, 19 },
+    grown = { 3_000, 4_000, 15 },
+    large = { 4_000, 5_000, 48 },
+)]
+fn the_last_host_that_steps_in_brings_the_configuration_in_time(
+    in_force_ms: u64,
+    stable_ms: u64,
+    place: u32,
+) {
+    let bounds = bounds(in_force_ms, stable_ms);
+
+    let times = PropagationTimes::new(bounds);
+
+    assert!(times.past_silent_followers(place) < bounds.in_force);
+}
+
 #[parameterized(
     small = { 2_000, 3_000 },
     grown = { 3_000, 4_000 },
--- a/stoatjunction_entry/src/followers.rs
+++ b/stoatjunction_entry/src/followers.rs
@@ -7,15 +7,12 @@
 use std::time::Duration;
 
 use stoatjunction_core::entry::follower_election::{Candidate, Role, wanted_followers};
-use stoatjunction_core::time::{Span, Time};
+use stoatjunction_core::time::Span;
 
 use crate::clock;
 use crate::relay::host_number;
 use crate::state::{Context, SharedState};
 
-/// Time since the store's last response after which a host no longer counts as following it. A
-/// watch returns well before, even without changes.
-const RESPONSE_MAX_AGE: Span = Span::from_millis(6_000);
 /// Time for which a host waits for the state of others when the whole fleet starts for the first time,
 /// which is long before callers come.
 const FIRST_START_WAIT: Span = Span::from_millis(1_000);
@@ -24,10 +21,9 @@
 /// Longest backoff of a host that steps in for others: all of them may get no response.
 const MAX_STAND_IN_BACKOFF: Duration = Duration::from_secs(15);
 
-/// Returns whether this host has a recent response from the store on every topic.
-pub(crate) fn follows(state: &SharedState, now: Time) -> bool {
-    let is_fresh = |at: Option<Time>| at.is_some_and(|at| now.since(at) < RESPONSE_MAX_AGE);
-    state.store_answered_at.into_iter().all(is_fresh)
+/// Returns whether the store answers this host on every topic: no response has failed or is overdue.
+pub(crate) fn follows(state: &SharedState) -> bool {
+    state.store_answered_at.iter().all(Option::is_some)
 }
 
 /// Returns whether this host follows the store itself.
@@ -72,6 +68,6 @@
 pub(crate) fn backoff(role: Role, backoff: Duration) -> Duration {
     match role {
         Role::StandIn(place) => (backoff * place).clamp(backoff, MAX_STAND_IN_BACKOFF),
-        Role::Follower | Role::Reader => backoff,
+        Role::Independent | Role::Follower | Role::Reader => backoff,
     }
 }
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -135,7 +135,7 @@
         boot: cx.boot,
         dc: cx.settings.dc.clone(),
         leaving: state.phase == Phase::Closing,
-        follows: followers::follows(state, clock::now()),
+        follows: followers::follows(state),
         known: state_version(state),
         loads: own_loads(state),
         waiting: own_waiting(state),
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -104,8 +104,8 @@
     dc: String,
     pub(crate) started: Time,
     pub(crate) store_failed_at: Option<Time>,
-    /// Time of the store's last response on the configuration and on upstreams; `None` while this host doesn't follow the store
-    /// or gets no response.
+    /// Time of the store's last response on the configuration and on upstreams; `None` while this host
+    /// doesn't follow the store, or a response failed or is overdue.
     pub(crate) store_answered_at: [Option<Time>; 2],
     pub(crate) follower_election: FollowerElection,
     /// Data centres that have hosts, as of the last full heartbeat.
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -9,7 +9,7 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::poison_requests::Crash;
-use stoatjunction_core::entry::propagation::PropagationTimes;
+use stoatjunction_core::entry::propagation::{PropagationTimes, ROLE_CHECK_INTERVAL};
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
 use stoatjunction_core::time::{Span, Time};
 use thiserror::Error;
@@ -31,8 +31,6 @@
 const CRASHES_WAIT: Duration = Duration::from_secs(15);
 /// Part of the drain time by which removals are delayed at most.
 const MAX_DELAY_PART: f64 = 0.55;
-/// Interval for checking whether this host has to follow the store itself.
-const FOLLOW_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the start within which hosts hear each other.
 const HEARING_TIME: Span = Span::from_millis(300);
 /// Interval for checking delayed removals.
@@ -59,12 +57,15 @@
         }
     }
 
-    /// Returns the times of a watch. Crashes mostly arrive from other hosts, and each request to the
-    /// store is billed.
-    fn watch_times(self, times: &PropagationTimes) -> WatchTimes {
-        let wait = match self {
-            Topic::Configuration | Topic::Upstreams => times.watch_wait.into(),
-            Topic::Crashes => CRASHES_WAIT,
+    /// Returns the times of a watch of a host in this role. Crashes mostly arrive from other hosts, and each
+    /// request to the store is billed.
+    fn watch_times(self, role: Role, times: &PropagationTimes) -> WatchTimes {
+        let wait = match (self, role) {
+            (Topic::Configuration, Role::Follower | Role::StandIn(_)) => {
+                times.follower_watch_wait.into()
+            }
+            (Topic::Configuration | Topic::Upstreams, _) => times.watch_wait.into(),
+            (Topic::Crashes, _) => CRASHES_WAIT,
         };
         WatchTimes {
             wait,
@@ -162,7 +163,7 @@
         let role = followers::role(&cx);
         if !role.follows() {
             set_answered(&cx, topic, None);
-            tokio::time::sleep(FOLLOW_CHECK_INTERVAL).await;
+            tokio::time::sleep(ROLE_CHECK_INTERVAL.into()).await;
             continue;
         }
         let listed = store.list(topic).await;
@@ -229,6 +230,7 @@
             );
             cx.state.borrow_mut().store_failed_at = Some(clock::now());
             set_answered(cx, topic, None);
+            cx.gossip_wakeup.notify_one();
         }
     }
 }
@@ -252,13 +254,16 @@
 where
     S: Store,
 {
-    let times = topic.watch_times(&PropagationTimes::new(cx.settings.propagation));
+    let propagation = PropagationTimes::new(cx.settings.propagation);
     loop {
         let role = followers::role(cx);
         if !role.follows() {
             return;
         }
-        let watched = store.watch(topic, revision, times).await;
+        let times = topic.watch_times(role, &propagation);
+        let overdue_after = times.wait + Duration::from(propagation.overdue_margin);
+        let watched = store.watch(topic, revision, times);
+        let watched = report_overdue(cx, topic, overdue_after, watched).await;
         record_call(cx, topic, "watch", role, watched.as_ref().err());
         let Ok(changes) = watched else { return };
         revision = revision.max(changes.revision);
@@ -270,6 +275,29 @@
     }
 }
 
+/// Awaits a response, and reports to the other hosts when it is overdue.
+async fn report_overdue<F>(
+    cx: &Context,
+    topic: Topic,
+    overdue_after: Duration,
+    response: F,
+) -> F::Output
+where
+    F: Future,
+{
+    tokio::pin!(response);
+    if let Ok(output) = tokio::time::timeout(overdue_after, &mut response).await {
+        return output;
+    }
+    log::info!(
+        "event=store_overdue topic={topic:?} after_ms={}",
+        overdue_after.as_millis()
+    );
+    set_answered(cx, topic, None);
+    cx.gossip_wakeup.notify_one();
+    response.await
+}
+
 /// Returns the delay of removals shortly after a failed request to the store: entries that expired
 /// meanwhile may come back. Upstreams that are gone for good must still get no work after the drain
 /// time.
