--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -111,6 +111,12 @@
         let found = self.headers.iter().find(|(n, _)| n == name);
         found.map(|(_, v)| v.as_str())
     }
+
+    /// Returns whether the path or a part of the prompt contains `marker`.
+    fn holds(&self, marker: &str) -> bool {
+        let prompt = self.header("prompt-prefix").unwrap_or_default();
+        self.line.contains(marker) || prompt.contains(marker)
+    }
 }
 
 /// A crash of the upstream under a request.
@@ -230,7 +236,7 @@
         self.lock().default = Some(reply);
     }
 
-    /// Crashes in this way whenever a request whose path contains `marker` is received.
+    /// Crashes in this way whenever a request whose path or prompt contains `marker` is received.
     pub fn crash_on(&self, marker: &str, mode: CrashMode) {
         let marker = marker.to_owned();
         self.lock().poison = Some(Poison { marker, mode });
@@ -294,7 +300,7 @@
         while let Some(mut req) = read_request(stream, buf).await? {
             stream.write_all(&std::mem::take(&mut late_copy)).await?;
             let poison = self.lock().poison.clone();
-            if let Some(poison) = poison.filter(|p| req.line.contains(&p.marker)) {
+            if let Some(poison) = poison.filter(|p| req.holds(&p.marker)) {
                 return self.crash(stream, req, poison.mode).await;
             }
             let reply = {
