Blame parts of prompts for crashes of upstreams, and refuse requests that hold one

Cause: what crashes upstreams was counted by a fingerprint of the whole request. Class: blame by identity, where only what the crashes have in common could tell.

Fix: the one record of what crashes upstreams now counts causes: the request and each part of its prompt but the last. A crash ends all runs of an upstream, so a part is blamed only if it explains the crashes: it was at four of them, each under a run that was sent after the one before, and no request with it was answered whole since. The part with most is found first; what it explains blames no other part and no request that ran beside. Parts that were at just the same crashes bar a request together only. Reports between hosts and the objects in the store carry the upstream and how long the run lasted, so that each host comes to the same result.

Ruled out by the logs before: hosts that count apart (no count reached three), retries (they double the ends, no more).

Log lines name a cause in place of a fingerprint; explain follows it.

--- a/stoatjunction/src/explain.rs
+++ b/stoatjunction/src/explain.rs
@@ -63,7 +63,7 @@
     if !crashes.is_empty() {
         let places: Vec<String> = crashes.iter().map(crash_place).collect();
         summary.push_str(&format!(
-            " Upstreams that crashed under the same request before: {}.",
+            " Upstreams that crashed before under the same request or a part of its prompt: {}.",
             places.join(", ")
         ));
     }
@@ -79,17 +79,19 @@
     out
 }
 
-/// Returns the crashes that other requests with the same fingerprint caused.
+/// Returns the crashes under other requests that were the same or held the same parts, for which this one was
+/// refused or suspect.
 fn crashes_before<'a>(id: &str, lines: &[LogLine<'a>], text: &'a str) -> Vec<LogLine<'a>> {
-    let known = lines
+    let causes: Vec<&str> = lines
         .iter()
-        .find_map(|l| field_value(l.text, "fingerprint"));
-    let Some(fingerprint) = known else {
-        return Vec::new();
-    };
+        .filter(|l| l.get("event") != "crash_recorded")
+        .filter_map(|l| field_value(l.text, "cause"))
+        .flat_map(|c| c.split('+'))
+        .collect();
+    let is_known = |l: &str| field_value(l, "cause").is_some_and(|c| causes.contains(&c));
     let crashes = text.lines().filter(|l| {
         field_value(l, "event") == Some("crash_recorded")
-            && field_value(l, "fingerprint") == Some(fingerprint)
+            && is_known(l)
             && field_value(l, "request") != Some(id)
     });
     crashes.filter_map(LogLine::parse).collect()
--- a/stoatjunction/tests/explain.rs
+++ b/stoatjunction/tests/explain.rs
@@ -9,6 +9,9 @@
 /// A request under which three upstreams end, and its fourth copy.
 const POISON_LOGS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/poison.txt");
 
+/// Requests with a part in their prompts under which four upstreams end, and the fifth one.
+const PART_LOGS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/deadly_part.txt");
+
 fn explain(id: &str) -> String {
     explain_from(LOGS, id)
 }
@@ -45,13 +48,29 @@
         last.contains("was refused with code 2011 (barred)"),
         "{last}"
     );
-    let crashes = "Upstreams that crashed under the same request before: \
-        u3 (broken, seen by 127.65.0.1), u10 (broken, seen by 127.65.0.1), \
-        u5 (broken, seen by 127.65.0.1).";
+    let crashes = "Upstreams that crashed before under the same request or a part of its prompt: \
+        u8 (broken, seen by 127.151.0.1), u9 (broken, seen by 127.151.0.1), \
+        u2 (broken, seen by 127.151.0.1).";
     assert!(last.ends_with(crashes), "{last}");
     assert_eq!(text.matches("event=crash_recorded").count(), 3);
 }
 
+#[test]
+fn a_request_that_is_barred_for_a_part_is_traced_to_the_crashes_under_other_requests_with_it() {
+    let text = explain_from(PART_LOGS, "a0000004");
+
+    let last = text.lines().last().expect("output has a summary");
+    assert!(
+        last.contains("was refused with code 2011 (barred)"),
+        "{last}"
+    );
+    for upstream in ["u3", "u10", "u15", "u8"] {
+        let place = format!("{upstream} (broken, seen by 127.143.0.1)");
+        assert!(last.contains(&place), "{last}");
+    }
+    assert_eq!(text.matches("event=crash_recorded").count(), 4);
+}
+
 #[test]
 fn log_lines_are_sorted_by_time() {
     let text = explain("c0925ef86bcd6ba5");
--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -5,6 +5,8 @@
 //! Each host decides on its own, from the requests that it runs and the last reports of the others.
 
 pub mod config;
+pub mod crash_causes;
+pub mod crash_explanation;
 pub mod decaying_rate;
 pub mod follower_election;
 pub mod health;
@@ -12,7 +14,7 @@
 mod peer_reports;
 mod placement;
 pub mod placement_request;
-pub mod poison_requests;
+
 pub mod pool;
 pub mod prompt_cache;
 pub mod propagation;
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::{Organisation, Route};
+use stoatjunction_core::entry::crash_causes::Cause;
 use stoatjunction_core::entry::pool::PlacementRequest;
 use stoatjunction_core::entry::prompt_cache::PromptPart;
 use stoatjunction_core::entry::rate_limiter::LimitStatus;
@@ -129,7 +130,11 @@
     let organisation_name = organisation.as_ref().map_or("", |o| o.name.as_str());
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let fingerprint = hash::hash_parts(&[path.as_bytes(), organisation_name.as_bytes(), &body]);
-    let prompt = head.headers.get(&names.prompt).map(parse_prompt_parts);
+    let prompt = head.headers.get(&names.prompt);
+    let causes = std::iter::once(Cause::Request(fingerprint))
+        .chain(prompt.into_iter().flat_map(shared_prompt_parts))
+        .collect();
+    let prompt = prompt.map(parse_prompt_parts);
     let spent = {
         let mut state = cx.state.borrow_mut();
         requested_timeout.map_or(Span::ZERO, |d| state.elapsed(&route.name, d))
@@ -149,7 +154,7 @@
         headers: forwarded_headers(cx, &head.headers, organisation.as_ref()),
         body,
         id: head.headers.get(&names.request_id).cloned(),
-        fingerprint,
+        causes,
     };
     let mut admitted = AdmittedRequest {
         request,
@@ -175,17 +180,20 @@
     Ok(admitted)
 }
 
-/// Checks the organisation's rate limit and whether the request is barred as a poison request.
+/// Checks the organisation's rate limit and whether the request is barred since upstreams crash under it.
 fn check_limits(cx: &Rc<Context>, admitted: &AdmittedRequest) -> Result<LimitStatus, Refusal> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    let fingerprint = admitted.request.fingerprint;
-    if state.poison_requests.is_barred(fingerprint) {
-        state.poison_requests.record_refusal(fingerprint, now);
+    let causes = &admitted.request.causes;
+    let barring = state.crash_causes.barring(causes);
+    if let Some(first) = barring.first() {
+        state.crash_causes.record_refusal(causes, now);
+        let names: Vec<String> = barring.iter().map(Cause::to_string).collect();
         log::info!(
-            "event=barred request={} fingerprint={fingerprint:016x} crashes={}",
+            "event=barred request={} cause={} crashes={}",
             admitted.request.id_for_log(),
-            state.poison_requests.crash_count(fingerprint)
+            names.join("+"),
+            state.crash_causes.crash_count(*first)
         );
         return Err(Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER));
     }
@@ -265,6 +273,17 @@
     text.split(',').filter_map(part).collect()
 }
 
+/// Returns the parts of a prompt but for the last, which belongs to one request, as causes of crashes.
+fn shared_prompt_parts(value: &HeaderValue) -> Vec<Cause> {
+    let text = value.to_str().unwrap_or_default();
+    let ids = text.split(',').filter_map(|entry| entry.split(':').next());
+    let mut parts: Vec<Cause> = ids
+        .map(|id| Cause::PromptPart(hash::hash_parts(&[id.trim().as_bytes()])))
+        .collect();
+    parts.pop();
+    parts
+}
+
 /// Returns the headers to forward to an upstream.
 fn forwarded_headers(
     cx: &Rc<Context>,
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -8,12 +8,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use stoatjunction_core::entry::config::RouteKind;
+use stoatjunction_core::entry::crash_causes::Cause;
 use stoatjunction_core::entry::health::RunOutcome;
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
 use crate::connection_pool::{self, Connection};
+use crate::crash;
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
 use crate::read_limit::CountedBody;
@@ -28,8 +30,9 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) id: Option<HeaderValue>,
-    /// Identifies the same request when it comes again, at any host.
-    pub(crate) fingerprint: u64,
+    /// What upstreams may crash under: the request itself, the same when it comes again at any host, and the
+    /// parts of its prompt.
+    pub(crate) causes: Rc<[Cause]>,
 }
 
 impl UpstreamRequest {
@@ -182,16 +185,18 @@
 /// since crashes may have become known while the request waited.
 fn is_barred(cx: &Context, request: &UpstreamRequest, target: &UpstreamTarget) -> bool {
     let state = cx.state.borrow();
-    let crashes = state.poison_requests.crash_count(request.fingerprint);
-    let is_barred = state.poison_requests.is_barred(request.fingerprint);
-    if crashes > 0 {
-        log::info!(
-            "event=suspect request={} fingerprint={:016x} upstream={} crashes={crashes} sent={}",
-            request.id_for_log(),
-            request.fingerprint,
-            target.id,
-            !is_barred
-        );
+    let is_barred = state.crash_causes.is_barred(&request.causes);
+    for cause in &*request.causes {
+        let crashes = state.crash_causes.crash_count(*cause);
+        if crashes > 0 {
+            log::log!(
+                crash::level(*cause, crashes),
+                "event=suspect request={} cause={cause} upstream={} crashes={crashes} sent={}",
+                request.id_for_log(),
+                target.id,
+                !is_barred
+            );
+        }
     }
     is_barred
 }
--- a/stoatjunction_entry/src/crash_reports.rs
+++ b/stoatjunction_entry/src/crash_reports.rs
@@ -6,7 +6,7 @@
 
 use std::net::IpAddr;
 
-use stoatjunction_core::entry::poison_requests::CrashReport;
+use stoatjunction_core::entry::crash_causes::CrashReport;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
@@ -19,8 +19,10 @@
 /// Hosts to which it is repeated each time, chosen at random. A report reaches all of a data centre of
 /// 100 hosts in about four intervals, and mostly in one, since all hosts repeat it.
 const REPEAT_RECEIVERS: usize = 3;
-/// Requests in one message, which has to fit a datagram.
+/// Causes in one message, which has to fit a datagram.
 const MAX_REPORTS: usize = 16;
+/// Crashes in one message, for the same reason.
+const MAX_REPORTED_CRASHES: usize = 64;
 
 /// When reports were last sent.
 #[derive(Debug, Default)]
@@ -39,21 +41,26 @@
     ) -> Option<(Vec<CrashReport>, Vec<IpAddr>)> {
         let now = clock::now();
         let mut state = cx.state.borrow_mut();
-        let has_news = state.poison_requests.take_news();
+        let has_news = state.crash_causes.take_news();
         let is_due = now.since(self.repeated_at) >= REPEAT_INTERVAL;
         if !has_news && !has_new_host && !is_due {
             return None;
         }
         if is_due {
             self.repeated_at = now;
-            state.poison_requests.expire(now);
+            state.crash_causes.expire(now);
         }
         if !has_news && !has_new_host {
             fastrand::shuffle(&mut known);
             known.truncate(REPEAT_RECEIVERS);
         }
         let draw = || fastrand::u64(..);
-        let reports = state.poison_requests.reports(MAX_REPORTS, now, draw);
+        let mut reports = state.crash_causes.reports(MAX_REPORTS, now, draw);
+        let mut crashes = 0;
+        reports.retain(|r| {
+            crashes += r.crashes.len();
+            crashes <= MAX_REPORTED_CRASHES
+        });
         known.extend(remote_receivers(cx, &state));
         (!reports.is_empty()).then_some((reports, known))
     }
@@ -69,12 +76,8 @@
 
 /// Merges the reports of the host at `sender`.
 pub(crate) fn receive(cx: &Context, sender: IpAddr, reports: &[CrashReport]) {
-    let now = clock::now();
     let mut state = cx.state.borrow_mut();
     for report in reports {
-        if state.poison_requests.merge(report, now) {
-            let crashes = state.poison_requests.crash_count(report.fingerprint);
-            heartbeat::log_heard(report.fingerprint, sender, crashes);
-        }
+        heartbeat::merge_crashes(&mut state, sender, report);
     }
 }
--- a/stoatjunction_entry/src/crash_writer.rs
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatjunction_core::entry::poison_requests::Crash;
+use stoatjunction_core::entry::crash_causes::Crash;
 
 use crate::clock;
 use crate::followers;
 use crate::state::Context;
-use crate::store_watch::{Store, StoreError};
+use crate::store_watch::{Store, StoreError, StoredCrash};
 
 /// Longest time until a crash is written whose host did not wake this task.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -51,7 +51,7 @@
     let for_others = followers::must_follow(cx);
     let unstored = {
         let state = cx.state.borrow();
-        state.poison_requests.unstored(for_others, clock::now())
+        state.crash_causes.unstored(for_others, clock::now())
     };
     for (n, crash) in unstored.into_iter().enumerate() {
         if n >= REQUEST_BURST {
@@ -60,12 +60,12 @@
         write(cx, store, crash).await?;
     }
     loop {
-        let obsolete = cx.state.borrow().poison_requests.next_obsolete();
+        let obsolete = cx.state.borrow().crash_causes.next_obsolete();
         let Some(crash) = obsolete else {
             return Ok(());
         };
         store.remove_crash(crash).await?;
-        cx.state.borrow_mut().poison_requests.set_removed(crash);
+        cx.state.borrow_mut().crash_causes.set_removed(crash);
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
 }
@@ -74,15 +74,15 @@
 where
     S: Store,
 {
-    let age = {
+    let known = {
         let state = cx.state.borrow();
-        state.poison_requests.age(crash, clock::now())
+        state.crash_causes.run_and_age(crash, clock::now())
     };
     // It may have been refuted while others were written.
-    let Some(age) = age else {
+    let Some((run, age)) = known else {
         return Ok(());
     };
-    store.add_crash(crash, age).await?;
+    store.add_crash(StoredCrash { crash, run, age }).await?;
     cx.metrics.count(
         "store_calls",
         &[
@@ -92,10 +92,10 @@
         ],
     );
     let mut state = cx.state.borrow_mut();
-    state.poison_requests.set_stored(crash, true);
+    state.crash_causes.set_stored(crash, true);
     log::info!(
-        "event=crash_stored fingerprint={:016x} attempt={:016x}",
-        crash.fingerprint,
+        "event=crash_stored cause={} attempt={:016x}",
+        crash.cause,
         crash.attempt
     );
     Ok(())
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::poison_requests::CrashReport;
+use stoatjunction_core::entry::crash_causes::CrashReport;
 use stoatjunction_core::entry::pool::DataCentreHosts;
 use stoatjunction_core::entry::propagation::REPORT_INTERVAL;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::poison_requests::Crash;
+use stoatjunction_core::entry::crash_causes::{Cause, CrashReport};
 use stoatjunction_core::entry::pool::{Load, Upstream, WaitingCounts};
 use stoatjunction_core::entry::rate_limiter::{Reporter, UsageReport};
-use stoatjunction_core::time::Span;
 
 use crate::catch_up;
 use crate::clock;
@@ -36,9 +35,9 @@
     pub(crate) waiting: Vec<(String, WaitingCounts)>,
     #[serde(rename = "told")]
     pub(crate) usage: Vec<UsageReport>,
-    /// Fingerprints of requests that just crashed an upstream, with the attempt.
+    /// Crashes of upstreams that this host has just seen.
     #[serde(rename = "breaks")]
-    pub(crate) crashes: Vec<(u64, u64)>,
+    pub(crate) crashes: Vec<CrashReport>,
     /// Prompt parts with the number of the upstream that they were sent to.
     #[serde(rename = "parts")]
     pub(crate) prompt_parts: Vec<(u32, u64)>,
@@ -122,8 +121,10 @@
     let mut state = cx.state.borrow_mut();
     let details = full.then(|| build_details(&state));
     let state = &mut *state;
+    let now = clock::now();
     let crashes = state.pending_updates.crashes.iter();
-    let crashes = crashes.map(|(c, _)| (c.fingerprint, c.attempt)).collect();
+    let crashes = crashes.filter_map(|(c, _)| state.crash_causes.report_of(*c, now));
+    let crashes = crashes.collect();
     for (_, remaining) in &mut state.pending_updates.crashes {
         *remaining -= 1;
     }
@@ -193,18 +194,8 @@
     state
         .rate_limiter
         .record_usage(reporter, &heartbeat.usage, now);
-    for (fingerprint, attempt) in &heartbeat.crashes {
-        let crash = Crash {
-            fingerprint: *fingerprint,
-            attempt: *attempt,
-        };
-        if state
-            .poison_requests
-            .record_peer_crash(crash, Span::ZERO, now)
-        {
-            let crashes = state.poison_requests.crash_count(*fingerprint);
-            log_heard(*fingerprint, sender, crashes);
-        }
+    for report in &heartbeat.crashes {
+        merge_crashes(state, sender, report);
     }
     record_waiting(state, heartbeat.boot, &heartbeat.waiting);
     record_loads(state, heartbeat.boot, &heartbeat.loads);
@@ -239,16 +230,21 @@
     }
 }
 
-/// Logs that another host reported a crash. Most requests see a single one, since they ran beside the
-/// one that caused it.
-pub(crate) fn log_heard(fingerprint: u64, sender: IpAddr, crashes: usize) {
-    let level = match crashes {
-        0 | 1 => log::Level::Debug,
-        _ => log::Level::Info,
+/// Merges what the host at `sender` knows about a cause of crashes. Most requests and parts of prompts see a
+/// single crash, since they ran beside the one that caused it.
+pub(crate) fn merge_crashes(state: &mut SharedState, sender: IpAddr, report: &CrashReport) {
+    if !state.crash_causes.merge(report, clock::now()) {
+        return;
+    }
+    let cause = report.cause;
+    let crashes = state.crash_causes.crash_count(cause);
+    let level = match (cause, crashes) {
+        (Cause::Request(_), 2..) => log::Level::Info,
+        _ => log::Level::Debug,
     };
     log::log!(
         level,
-        "event=crash_heard fingerprint={fingerprint:016x} from={sender} crashes={crashes}"
+        "event=crash_heard cause={cause} from={sender} crashes={crashes}"
     );
 }
 
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -237,7 +237,7 @@
     let (reachable, known) = state.reachable_hosts(now);
     let draining = state.upstream_list.upstreams().filter(|l| l.draining);
     let version = state.routes.as_ref().map_or(0, |r| r.cfg().version);
-    let barred = state.poison_requests.barred_count();
+    let barred = state.crash_causes.barred_count();
     let mut all = vec![
         ("hosts_reachable".to_owned(), reachable.to_string()),
         ("hosts_known".to_owned(), known.to_string()),
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -5,7 +5,6 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::health::RunOutcome;
-use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
 use stoatjunction_core::entry::upstream_notices::Statement;
@@ -15,7 +14,7 @@
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
-use crate::crash;
+use crate::crash::{self, SentRequest};
 use crate::limit_reports;
 use crate::notice_reports;
 use crate::state::Context;
@@ -177,11 +176,10 @@
     run: RunKey,
     /// The upstream as it was listed when the run was placed; it may leave the list meanwhile.
     target: Option<UpstreamTarget>,
-    /// The crash that it would be if the upstream ended under the request, from the moment at which it
-    /// may run that.
-    possible_crash: Cell<Option<Crash>>,
-    /// Id of the request for log lines.
-    request_id: RefCell<String>,
+    /// Number of the upstream, another one after each of its starts.
+    number: u64,
+    /// The request, from the moment at which the upstream may run it.
+    sent: RefCell<Option<SentRequest>>,
     sent_at: Cell<Time>,
     /// Time of the sending or of the last bytes received since.
     heard_at: Cell<Time>,
@@ -194,11 +192,12 @@
 
 impl Placement {
     fn new(cx: &Rc<Context>, service: &str, key: UpstreamKey, run: RunKey) -> Placement {
-        let target = {
+        let (target, number) = {
             let state = cx.state.borrow();
             let scheduler = state.schedulers.get(service);
             let upstream = scheduler.and_then(|s| s.pool.upstream(key));
-            upstream.map(|u| UpstreamTarget::new(&u.listed))
+            let target = upstream.map(|u| UpstreamTarget::new(&u.listed));
+            (target, upstream.map_or(0, |u| u.number))
         };
         cx.gossip_wakeup.notify_one();
         Placement {
@@ -207,8 +206,8 @@
             key,
             run,
             target,
-            possible_crash: Cell::new(None),
-            request_id: RefCell::default(),
+            number,
+            sent: RefCell::new(None),
             sent_at: Cell::default(),
             heard_at: Cell::default(),
             silence_limit: Cell::default(),
@@ -228,11 +227,8 @@
 
     /// Records that the upstream may run the request from now on.
     pub(crate) fn mark_sent(&self, request: &UpstreamRequest) {
-        self.possible_crash.set(Some(Crash {
-            fingerprint: request.fingerprint,
-            attempt: fastrand::u64(..),
-        }));
-        self.request_id.replace(request.id_for_log().to_owned());
+        let sent = SentRequest::new(request, self.number);
+        self.sent.replace(Some(sent));
         self.sent_at.set(clock::now());
         self.heard_at.set(clock::now());
     }
@@ -251,7 +247,7 @@
 
     /// Records that nothing of the request was sent after all.
     pub(crate) fn mark_unsent(&self) {
-        self.possible_crash.set(None);
+        self.sent.replace(None);
     }
 
     /// Awaits `work`, during which the upstream is expected to send something. If it is silent for
@@ -286,7 +282,7 @@
 
     /// Checks the upstream after `delay`, if it has sent nothing by then.
     fn spawn_check(&self, delay: Span) {
-        let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) else {
+        let (Some(sent), Some(target)) = (self.sent.borrow().clone(), &self.target) else {
             return;
         };
         let mut check = self.silence_check.borrow_mut();
@@ -296,11 +292,10 @@
         let (cx, target) = (self.cx.clone(), target.clone());
         let (service, key) = (self.service.clone(), self.key);
         let heard_at = self.upstream_heard_at();
-        let request_id = self.request_id.borrow().clone();
         *check = Some(tokio::task::spawn_local(async move {
             tokio::time::sleep(delay.into()).await;
             if cx.heard_at(&service, key) <= heard_at {
-                crash::check_upstream(&cx, crash, &target, &request_id).await;
+                crash::check_upstream(&cx, &sent, &target).await;
             }
         }));
     }
@@ -413,7 +408,8 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        if self.possible_crash.get().is_some() {
+        let is_sent = self.sent.borrow().is_some();
+        if is_sent {
             let end = self.outcome.map_or("none", RunOutcome::label);
             let tags = [("service", self.service.as_str()), ("outcome", end)];
             self.cx.metrics.count("runs_ended", &tags);
@@ -421,14 +417,12 @@
         match self.outcome {
             None => self.check_abandoned(),
             Some(RunOutcome::Broken) => {
-                if let (Some(crash), Some(target)) = (self.possible_crash.get(), &self.target) {
-                    let request_id = self.request_id.borrow();
-                    crash::record(&self.cx, crash, target, &request_id, "broken");
+                if let (Some(sent), Some(target)) = (&*self.sent.borrow(), &self.target) {
+                    crash::record(&self.cx, sent, target, "broken");
                 }
             }
             Some(_) => {}
         }
-        let is_sent = self.possible_crash.get().is_some();
         self.with_pool(|pool| match is_sent {
             true => pool.end_run(self.run, self.outcome, clock::now()),
             false => pool.cancel_run(self.run, self.outcome, clock::now()),
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -7,8 +7,8 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::crash_causes::{Crash, CrashCauses};
 use stoatjunction_core::entry::follower_election::FollowerElection;
-use stoatjunction_core::entry::poison_requests::{Crash, PoisonRequests};
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::queue::RequestId;
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
@@ -97,7 +97,7 @@
     pub(crate) schedulers: IndexMap<String, ServiceScheduler>,
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) retry_budget: RetryBudget,
-    pub(crate) poison_requests: PoisonRequests,
+    pub(crate) crash_causes: CrashCauses,
     pub(crate) pending_updates: PendingUpdates,
     pub(crate) peers: IndexMap<IpAddr, Peer>,
     /// This host's data centre.
@@ -169,7 +169,7 @@
             schedulers: IndexMap::new(),
             rate_limiter: RateLimiter::new(settings.tolerance.usable(), now),
             retry_budget: RetryBudget::new(settings.retry_budget, first_start),
-            poison_requests: PoisonRequests::default(),
+            crash_causes: CrashCauses::default(),
             pending_updates: PendingUpdates::default(),
             peers: IndexMap::new(),
             dc: settings.dc.clone(),
@@ -284,18 +284,17 @@
         state.schedulers.values().any(|s| !s.queue.is_empty())
     }
 
-    /// Forgets the crashes of a request that ran to its end.
+    /// Forgets the crashes under all that a request holds, since it ran to its end.
     pub(crate) fn clear_crashes(&self, request: &UpstreamRequest) {
-        let fingerprint = request.fingerprint;
         let now = clock::now();
         let cleared = self
             .state
             .borrow_mut()
-            .poison_requests
-            .clear(fingerprint, now);
+            .crash_causes
+            .clear(&request.causes, now);
         if cleared > 0 {
             log::info!(
-                "event=crashes_cleared request={} fingerprint={fingerprint:016x} crashes={cleared}",
+                "event=crashes_cleared request={} crashes={cleared}",
                 request.id_for_log()
             );
         }
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -7,8 +7,8 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
+use stoatjunction_core::entry::crash_causes::{Crash, CrashedRun};
 use stoatjunction_core::entry::follower_election::Role;
-use stoatjunction_core::entry::poison_requests::Crash;
 use stoatjunction_core::entry::propagation::{PropagationTimes, ROLE_CHECK_INTERVAL};
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
 use stoatjunction_core::time::{Span, Time};
@@ -103,16 +103,22 @@
         revision: u64,
     },
     /// A crash was written.
-    Crash {
-        /// The crash.
-        crash: Crash,
-        /// Time since it was seen.
-        age: Span,
-    },
+    Crash(StoredCrash),
     /// A crash was removed.
     CrashRemoved(Crash),
 }
 
+/// A crash as it is kept in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredCrash {
+    /// The crash.
+    pub crash: Crash,
+    /// The run that ended with it.
+    pub run: CrashedRun,
+    /// Time since it was seen.
+    pub age: Span,
+}
+
 /// The changes up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
@@ -146,8 +152,8 @@
         times: WatchTimes,
     ) -> impl Future<Output = Result<Changes, StoreError>>;
 
-    /// Writes a crash that was seen `age` ago. Succeeds if it is there already.
-    fn add_crash(&self, crash: Crash, age: Span) -> impl Future<Output = Result<(), StoreError>>;
+    /// Writes a crash. Succeeds if it is there already.
+    fn add_crash(&self, crash: StoredCrash) -> impl Future<Output = Result<(), StoreError>>;
 
     /// Removes a crash. Succeeds if it is not there.
     fn remove_crash(&self, crash: Crash) -> impl Future<Output = Result<(), StoreError>>;
@@ -314,7 +320,7 @@
         Topic::Upstreams => replace_upstreams(cx, all),
         Topic::Configuration => apply(cx, all),
         Topic::Crashes => {
-            cx.state.borrow_mut().poison_requests.set_none_stored();
+            cx.state.borrow_mut().crash_causes.set_none_stored();
             apply(cx, all);
         }
     }
@@ -357,13 +363,13 @@
                 let mut state = cx.state.borrow_mut();
                 has_changed |= state.upstream_list.remove(&id, revision, delay, now);
             }
-            Change::Crash { crash, age } => {
+            Change::Crash(StoredCrash { crash, run, age }) => {
                 let mut state = cx.state.borrow_mut();
-                state.poison_requests.restore(crash, age, clock::now());
+                state.crash_causes.restore(crash, run, age, clock::now());
             }
             Change::CrashRemoved(crash) => {
                 let mut state = cx.state.borrow_mut();
-                state.poison_requests.record_removal(crash);
+                state.crash_causes.record_removal(crash);
             }
         }
     }
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -53,7 +53,7 @@
     Complete,
     Broken,
     /// No events for too long; a slot on another upstream is taken.
-    TimedOut(Placement),
+    TimedOut(Box<Placement>),
     CallerGone,
     TooLate,
 }
@@ -126,7 +126,7 @@
                     self.log_end("cut_in_stream", &target);
                 }
                 SegmentEnd::TimedOut(other) => {
-                    next = Some(other);
+                    next = Some(*other);
                     placement.end(RunOutcome::TimedOut);
                     self.log_end("silent_in_stream", &target);
                 }
@@ -182,7 +182,7 @@
                             && let Some(other) = self.place_on_other(placement.key).await
                         {
                             placement.silence_checked().await;
-                            return SegmentEnd::TimedOut(other);
+                            return SegmentEnd::TimedOut(Box::new(other));
                         }
                         last_event_at = clock::now();
                     }
