Keep notices of upstreams that a host does not list yet

By its log it heard the notice 1 ms before it had its list, dropped it and got the next one with the full heartbeat 250 ms later.

Fix: EarlyNotices keeps such reports for a minute at most, bounded, and hands them out, aged, once the list names the upstream.

--- a/stoatjunction_core/src/entry/upstream_notices.rs
+++ b/stoatjunction_core/src/entry/upstream_notices.rs
@@ -25,6 +25,8 @@
 const END_REPORTED_FOR: Span = Span::from_millis(5_000);
 /// Maximum notices in one report; the others follow in later ones.
 const MAX_REPORTS: usize = 40;
+/// Maximum reports kept on upstreams that are not listed.
+const MAX_EARLY_REPORTS: usize = 1_024;
 
 /// What an upstream says of itself in a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,6 +85,41 @@
     last_said_at: Time,
 }
 
+/// Reports on upstreams that are not listed yet, as at a host that starts: it hears the others before it has
+/// its list.
+#[derive(Clone, Debug, Default)]
+pub struct EarlyNotices {
+    reports: IndexMap<u64, (NoticeReport, Time)>,
+}
+
+impl EarlyNotices {
+    /// Keeps a report that was received now, in place of an earlier one on the same upstream.
+    pub fn keep(&mut self, report: NoticeReport, now: Time) {
+        self.reports
+            .retain(|_, (_, received_at)| now.since(*received_at) < NOTICE_TTL);
+        if self.reports.len() < MAX_EARLY_REPORTS {
+            self.reports.insert(report.upstream, (report, now));
+        }
+    }
+
+    /// Takes the reports on upstreams that are listed by now, as old as they have become.
+    pub fn take<F>(&mut self, is_listed: F, now: Time) -> Vec<NoticeReport>
+    where
+        F: Fn(u64) -> bool,
+    {
+        let taken = self.reports.extract_if(.., |number, _| is_listed(*number));
+        let aged = taken.map(|(_, (report, received_at))| {
+            let age = now.since(received_at).as_millis();
+            NoticeReport {
+                leaving_age: report.leaving_age.map(|a| a + age),
+                pause: report.pause.map(|(a, length)| (a + age, length)),
+                ..report
+            }
+        });
+        aged.collect()
+    }
+}
+
 /// Notices of the upstreams of a pool, by the numbers of the upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamNotices {
--- a/stoatjunction_core/tests/entry_notices.rs
+++ b/stoatjunction_core/tests/entry_notices.rs
@@ -3,7 +3,9 @@
 
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, UpstreamKey};
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
-use stoatjunction_core::entry::upstream_notices::{Statement, UpstreamNotices};
+use stoatjunction_core::entry::upstream_notices::{
+    EarlyNotices, NoticeReport, Statement, UpstreamNotices,
+};
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
 
@@ -238,3 +240,39 @@
 
     assert_eq!(decision, Decision::Place(paused));
 }
+
+fn report(upstream: u64) -> NoticeReport {
+    NoticeReport {
+        upstream,
+        leaving_age: Some(100),
+        pause: Some((50, 4_000)),
+    }
+}
+
+#[test]
+fn a_report_on_an_upstream_that_is_not_listed_yet_is_kept_and_ages() {
+    let mut early = EarlyNotices::default();
+    early.keep(report(7), ms(0));
+
+    assert!(early.take(|number| number == 8, ms(10)).is_empty());
+    let taken = early.take(|number| number == 7, ms(30));
+
+    let expected = NoticeReport {
+        leaving_age: Some(130),
+        pause: Some((80, 4_000)),
+        ..report(7)
+    };
+    assert_eq!(taken, [expected]);
+    assert!(early.take(|_| true, ms(40)).is_empty());
+}
+
+#[test]
+fn reports_on_upstreams_that_are_never_listed_are_forgotten() {
+    let mut early = EarlyNotices::default();
+    early.keep(report(7), ms(0));
+
+    early.keep(report(8), ms(61_000));
+
+    let taken = early.take(|_| true, ms(61_000));
+    assert_eq!(taken.iter().map(|r| r.upstream).collect::<Vec<u64>>(), [8]);
+}
--- a/stoatjunction_entry/src/notice_reports.rs
+++ b/stoatjunction_entry/src/notice_reports.rs
@@ -50,20 +50,21 @@
 pub(crate) fn receive(cx: &Context, sender: IpAddr, message: &NoticesMessage) {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    for scheduler in state.schedulers.values_mut() {
-        let pool = &mut scheduler.pool;
-        for report in &message.notices {
-            if pool.key_by_number(report.upstream).is_none() {
-                continue;
-            }
-            if pool.notices_mut().record_report(report, now) {
-                log::info!(
-                    "event=upstream_notice upstream={} from={sender} leaving={} pause={:?}",
-                    pool.upstream_id(report.upstream),
-                    report.leaving_age.is_some(),
-                    report.pause
-                );
-            }
+    let state = &mut *state;
+    for report in &message.notices {
+        let pools = state.schedulers.values_mut().map(|s| &mut s.pool);
+        let mut of_pool = pools.filter(|p| p.key_by_number(report.upstream).is_some());
+        let Some(pool) = of_pool.next() else {
+            state.early_notices.keep(*report, now);
+            continue;
+        };
+        if pool.notices_mut().record_report(report, now) {
+            log::info!(
+                "event=upstream_notice upstream={} from={sender} leaving={} pause={:?}",
+                pool.upstream_id(report.upstream),
+                report.leaving_age.is_some(),
+                report.pause
+            );
         }
     }
 }
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -16,6 +16,7 @@
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::upstream_list::UpstreamList;
+use stoatjunction_core::entry::upstream_notices::EarlyNotices;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::Notify;
@@ -98,6 +99,8 @@
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) crash_causes: CrashCauses,
+    /// What other hosts reported of upstreams that are not listed here yet.
+    pub(crate) early_notices: EarlyNotices,
     pub(crate) pending_updates: PendingUpdates,
     pub(crate) peers: IndexMap<IpAddr, Peer>,
     /// This host's data centre.
@@ -170,6 +173,7 @@
             rate_limiter: RateLimiter::new(settings.tolerance.usable(), now),
             retry_budget: RetryBudget::new(settings.retry_budget, first_start),
             crash_causes: CrashCauses::default(),
+            early_notices: EarlyNotices::default(),
             pending_updates: PendingUpdates::default(),
             peers: IndexMap::new(),
             dc: settings.dc.clone(),
@@ -439,6 +443,18 @@
                 .filter(|l| l.service == *name);
             scheduler.pool.set_upstreams(listed, now);
         }
+        self.apply_early_notices(now);
+    }
+
+    fn apply_early_notices(&mut self, now: Time) {
+        for scheduler in self.schedulers.values_mut() {
+            let pool = &mut scheduler.pool;
+            let is_listed = |number| pool.key_by_number(number).is_some();
+            let reports = self.early_notices.take(is_listed, now);
+            for report in reports {
+                pool.notices_mut().record_report(&report, now);
+            }
+        }
     }
 
     /// Returns the time that a retrying caller has already spent: the longest deadline seen on the
