Probe an upstream after its pause before it gets the load again

Cause: a pause that was over left no trace; nothing told an upstream that takes requests again from one that has only been left alone.

Fix: after a pause the upstream gets one request a host until an answer to a request sent since asks for no other pause. Requests meanwhile wait or go elsewhere. The answer ends the pause at the other hosts too.

--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -109,6 +109,9 @@
                 continue;
             }
             untried += 1;
+            if self.is_being_probed(upstream, now) {
+                continue;
+            }
             let may_probe = request.idempotent || all_half_open;
             if upstream.health.is_half_open()
                 && (upstream.own_load.running > 0 || !may_probe)
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -285,14 +285,25 @@
         for part in prompt {
             self.prompt_cache.record(part.id, key, now);
         }
-        self.runs.insert(Run {
+        let run = self.runs.insert(Run {
             upstream: key,
             uncached_tokens,
             prefill_ahead,
             started_at: now,
             had_free_slot,
             has_first_event: false,
-        })
+        });
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && self.notices.is_unproven(upstream.number, now)
+        {
+            upstream.probe = Some(run);
+        }
+        run
+    }
+
+    /// Returns whether the upstream, after a pause, is being probed: it may ask for another pause.
+    pub(super) fn is_being_probed(&self, upstream: &Upstream, now: Time) -> bool {
+        upstream.probe.is_some() && self.notices.is_unproven(upstream.number, now)
     }
 
     /// Records that a run has prefilled its prompt, and the latency up to then. Called at the
@@ -346,6 +357,9 @@
             return;
         };
         upstream.own_load.running = upstream.own_load.running.saturating_sub(1);
+        if upstream.probe == Some(run) {
+            upstream.probe = None;
+        }
         if !r.has_first_event {
             upstream.own_load.pending_prefill_tokens = upstream
                 .own_load
@@ -409,6 +423,13 @@
         number.is_some_and(|number| self.notices.record(number, statement, now))
     }
 
+    /// Records that an upstream answered a request, which was sent at `sent_at`, without asking for a pause.
+    pub fn record_response(&mut self, key: UpstreamKey, sent_at: Time, now: Time) {
+        if let Some(number) = self.upstreams.get(key).map(|u| u.number) {
+            self.notices.record_response(number, sent_at, now);
+        }
+    }
+
     /// Forgets what upstreams said of themselves that are gone for long.
     pub fn expire_statements(&mut self, now: Time) {
         let by_number = &self.by_number;
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::health::Health;
 use super::latency::Slowdown;
+use super::pool::RunKey;
 use super::upstream_list::ListedUpstream;
 use crate::hash;
 use crate::time::{Span, Time};
@@ -26,6 +27,8 @@
     /// Number that identifies the upstream in messages between hosts.
     pub number: u64,
     pub(super) own_load: Load,
+    /// The run that finds out whether the upstream takes requests again after a pause.
+    pub(super) probe: Option<RunKey>,
     pub(super) peer_load: Load,
     /// Slots allocated to this host; none while slots are not allocated to hosts.
     pub(super) owned_slots: Option<u32>,
@@ -48,6 +51,7 @@
             listed: listed.clone(),
             number: upstream_number(&listed.id, listed.born),
             own_load: Load::default(),
+            probe: None,
             peer_load: Load::default(),
             owned_slots: None,
             reserved_slots: 0,
--- a/stoatjunction_core/src/entry/upstream_notices.rs
+++ b/stoatjunction_core/src/entry/upstream_notices.rs
@@ -182,6 +182,20 @@
         now.until(pause.until() + Span((spread.0 as f64 * draw) as u64))
     }
 
+    /// Returns whether a pause of the upstream is over, and no response since has shown that it takes
+    /// requests again.
+    pub fn is_unproven(&self, upstream: u64, now: Time) -> bool {
+        let pause = self.notices.get(&upstream).and_then(|n| n.pause);
+        pause.is_some_and(|p| p.length > Span::ZERO && now >= p.until())
+    }
+
+    /// Records that the upstream answered a request, which was sent at `sent_at`, without asking for a pause.
+    pub fn record_response(&mut self, upstream: u64, sent_at: Time, now: Time) {
+        if self.is_unproven(upstream, sent_at) {
+            self.record(upstream, Statement::Pause(Span::ZERO), now);
+        }
+    }
+
     /// Returns whether a notice has changed since the last call.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
--- a/stoatjunction_core/tests/entry_notices.rs
+++ b/stoatjunction_core/tests/entry_notices.rs
@@ -276,3 +276,47 @@
     let taken = early.take(|_| true, ms(61_000));
     assert_eq!(taken.iter().map(|r| r.upstream).collect::<Vec<u64>>(), [8]);
 }
+
+#[test]
+fn an_upstream_gets_one_request_after_a_pause_until_it_has_answered() {
+    let mut pool = pool_of(&["a"]);
+    let a = key(&pool, "a");
+    pool.record_statement(a, pause(1_000), ms(0));
+    let back = ms(1_500);
+
+    let mut first = request(back);
+    assert_eq!(pool.decide(&mut first, back), Decision::Place(a));
+    let probe = pool.start_run(a, &[], back);
+    let mut second = request(back);
+    assert_eq!(pool.decide(&mut second, back), Decision::Wait);
+
+    pool.record_response(a, back, ms(1_550));
+    assert_eq!(pool.decide(&mut second, ms(1_550)), Decision::Place(a));
+    pool.end_run(probe, None, ms(1_600));
+}
+
+#[test]
+fn another_request_probes_an_upstream_after_a_probe_without_an_answer() {
+    let mut pool = pool_of(&["a"]);
+    let a = key(&pool, "a");
+    pool.record_statement(a, pause(1_000), ms(0));
+    let probe = pool.start_run(a, &[], ms(1_500));
+
+    pool.end_run(probe, None, ms(1_600));
+
+    let mut next = request(ms(1_600));
+    assert_eq!(pool.decide(&mut next, ms(1_600)), Decision::Place(a));
+}
+
+#[test]
+fn an_answer_to_a_request_from_before_the_pause_proves_nothing() {
+    let mut pool = pool_of(&["a"]);
+    let a = key(&pool, "a");
+    pool.record_statement(a, pause(1_000), ms(0));
+    pool.start_run(a, &[], ms(1_500));
+
+    pool.record_response(a, ms(500), ms(1_550));
+
+    let mut next = request(ms(1_550));
+    assert_eq!(pool.decide(&mut next, ms(1_550)), Decision::Wait);
+}
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -378,6 +378,12 @@
         }
     }
 
+    /// Records that the upstream answered without asking for a pause.
+    pub(crate) fn record_response(&self) {
+        let sent_at = self.sent_at.get();
+        self.with_pool(|pool| pool.record_response(self.key, sent_at, clock::now()));
+    }
+
     /// Returns whether the request may be sent to the upstream at this moment.
     pub(crate) fn may_send(&self) -> bool {
         let state = self.cx.state.borrow();
--- a/stoatjunction_entry/src/statements.rs
+++ b/stoatjunction_entry/src/statements.rs
@@ -24,8 +24,9 @@
     if head.headers.contains_key(&names.leaving) {
         placement.record_statement(Statement::Leaving);
     }
-    if let Some(pause) = parse_pause(&head.headers) {
-        placement.record_statement(pause);
+    match parse_pause(&head.headers) {
+        Some(pause) => placement.record_statement(pause),
+        None => placement.record_response(),
     }
 }
 
