--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -22,6 +22,7 @@
 pub mod rate_limiter;
 pub mod retry_budget;
 pub mod route_table;
+pub mod shutdown;
 pub mod slot_allocation;
 pub mod snapshot_fetches;
 pub mod upstream;
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use miette::{IntoDiagnostic, WrapErr};
-use stoatjunction_core::time::{Span, Time};
+use stoatjunction_core::entry::shutdown::Shutdown;
+use stoatjunction_core::time::Span;
 use stoatjunction_net::daemon::ShutdownOutcome;
 use stoatjunction_net::stop::{self, Stop, StopRx};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -153,7 +154,12 @@
 
 /// Waits for the load balancer to notice, then finishes requests in progress.
 async fn shut_down(cx: &Context, phase: &watch::Sender<Phase>) -> ShutdownOutcome {
-    let began = clock::now();
+    let began_at = clock::now();
+    let aborts_at = began_at + Span::from(cx.settings.grace.saturating_sub(ABORT_MARGIN));
+    cx.state.borrow_mut().shutdown = Some(Shutdown {
+        began_at,
+        aborts_at,
+    });
     let set = |p: Phase| {
         cx.state.borrow_mut().phase = p;
         let _nobody_may_listen = phase.send(p);
@@ -165,9 +171,8 @@
     );
     tokio::time::sleep(ACCEPT_AFTER_STOP).await;
     set(Phase::Closing);
-    let end: Time = began + Span::from(cx.settings.grace.saturating_sub(ABORT_MARGIN));
     while cx.in_progress.get() > 0 {
-        if clock::now() >= end {
+        if clock::now() >= aborts_at {
             log::warn!(
                 "event=requests_aborted in_progress={}",
                 cx.in_progress.get()
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -14,6 +14,7 @@
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
 use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
 use stoatjunction_core::entry::route_table::RouteTable;
+use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::upstream_list::UpstreamList;
 use stoatjunction_core::entry::upstream_notices::EarlyNotices;
@@ -90,6 +91,8 @@
 #[derive(Debug)]
 pub(crate) struct SharedState {
     pub(crate) phase: Phase,
+    /// The stop of this host, from the signal on.
+    pub(crate) shutdown: Option<Shutdown>,
     pub(crate) routes: Option<Rc<RouteTable>>,
     /// Time at which the current configuration came into force here.
     pub(crate) configured_at: Time,
@@ -165,6 +168,7 @@
         };
         let mut state = SharedState {
             phase: Phase::Serving,
+            shutdown: None,
             routes: None,
             configured_at: now,
             upstream_list: UpstreamList::default(),
