Let watches on the list of upstreams wait longer than those on the configuration

The list has more time: an upstream that leaves must get nothing after the stable window and the time to drain. The promise on draining moves to the other bounds of propagation, and all three follow changed settings at once.

--- a/stoatjunction_core/src/entry/propagation.rs
+++ b/stoatjunction_core/src/entry/propagation.rs
@@ -27,6 +27,8 @@
     pub in_force: Span,
     /// Time after an impairment from which on the promise holds again.
     pub stable: Span,
+    /// Time after which an upstream that leaves gets no more work.
+    pub drain: Span,
 }
 
 impl Default for PropagationBounds {
@@ -34,6 +36,7 @@
         PropagationBounds {
             in_force: Span::from_millis(2_000),
             stable: Span::from_millis(3_000),
+            drain: Span::from_millis(2_000),
         }
     }
 }
@@ -44,6 +47,8 @@
     /// Time for which a watch waits for changes. Only its response shows that its connection lives, and
     /// a connection may die without a reset.
     pub watch_wait: Span,
+    /// The same for a watch on the list of upstreams. Each call to the store is billed, and there is more time.
+    pub list_watch_wait: Span,
     /// The same for a watch on the configuration on which other hosts depend.
     pub follower_watch_wait: Span,
     /// Time after the wait from which on the response is overdue: others may have to ask the store.
@@ -61,6 +66,7 @@
     pub fn new(bounds: PropagationBounds) -> PropagationTimes {
         PropagationTimes {
             watch_wait: part(bounds.stable, 0.45),
+            list_watch_wait: part(bounds.stable + bounds.drain, 0.65),
             follower_watch_wait: part(bounds.in_force, 0.2),
             overdue_margin: part(bounds.in_force, 0.15),
             watch_margin: part(bounds.stable, 0.25),
@@ -75,6 +81,11 @@
         self.watch_wait + self.watch_margin + RELIST
     }
 
+    /// The same for a watch on the list of upstreams.
+    pub fn list_after_dead_connection(&self) -> Span {
+        self.list_watch_wait + self.watch_margin + RELIST
+    }
+
     /// Returns the longest time from the moment at which the store falls silent to all hosts that follow it
     /// for the others until all hosts have a configuration that it tells a host this many places behind them.
     pub fn past_silent_followers(&self, place: u32) -> Span {
--- a/stoatjunction_core/tests/entry_propagation.rs
+++ b/stoatjunction_core/tests/entry_propagation.rs
@@ -4,10 +4,14 @@
 use stoatjunction_core::time::Span;
 use yare::parameterized;
 
+/// Time to drain where it is shortest.
+const DRAIN_MS: u64 = 2_000;
+
 fn bounds(in_force_ms: u64, stable_ms: u64) -> PropagationBounds {
     PropagationBounds {
         in_force: Span::from_millis(in_force_ms),
         stable: Span::from_millis(stable_ms),
+        drain: Span::from_millis(DRAIN_MS),
     }
 }
 
@@ -25,6 +29,7 @@
     let times = PropagationTimes::new(bounds);
 
     assert!(times.after_dead_connection() < bounds.stable);
+    assert!(times.list_after_dead_connection() < bounds.stable + bounds.drain);
 }
 
 #[parameterized(
--- a/stoatjunction_entry/src/catch_up.rs
+++ b/stoatjunction_entry/src/catch_up.rs
@@ -38,7 +38,7 @@
 }
 
 async fn catch_up(cx: Rc<Context>, peer: IpAddr, peer_version: StateVersion) {
-    let times = PropagationTimes::new(cx.settings.propagation);
+    let times = PropagationTimes::new(cx.state.borrow().propagation);
     if followers::must_follow(&cx) {
         tokio::time::sleep(own_watch_wait(&cx, &times, peer_version)).await;
     }
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -35,9 +35,7 @@
     pub retry_budget: RetryBudgetConfig,
     /// Maximum usage of organisations beyond their limits.
     pub tolerance: Tolerance,
-    /// Time after which a leaving upstream must get no more work.
-    pub drain: Span,
-    /// Promise on configurations.
+    /// Promises on configurations and on upstreams that leave.
     pub propagation: PropagationBounds,
     /// Time from SIGTERM until the process must have exited.
     pub grace: Duration,
@@ -65,7 +63,6 @@
                 window: Span::from_millis(10_000),
             },
             tolerance: Tolerance::default(),
-            drain: Span::from_millis(2_000),
             propagation: PropagationBounds::default(),
             grace: Duration::from_secs(8),
             max_open_files: 4_096,
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -10,6 +10,7 @@
 use stoatjunction_core::entry::crash_causes::{Crash, CrashCauses};
 use stoatjunction_core::entry::follower_election::FollowerElection;
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
+use stoatjunction_core::entry::propagation::PropagationBounds;
 use stoatjunction_core::entry::queue::RequestId;
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
 use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
@@ -116,8 +117,7 @@
     pub(crate) follower_election: FollowerElection,
     /// Data centres that have hosts, as of the last full heartbeat.
     pub(crate) data_centres: usize,
-    /// Time after which a leaving upstream must get no more work.
-    pub(crate) drain: Span,
+    pub(crate) propagation: PropagationBounds,
     pub(crate) snapshot_fetches: SnapshotFetches,
     longest_deadlines: IndexMap<String, Span>,
     pub(crate) next_request_id: RequestId,
@@ -186,7 +186,7 @@
             store_answered_at: [None; 2],
             follower_election: FollowerElection::default(),
             data_centres: 1,
-            drain: settings.drain,
+            propagation: settings.propagation,
             snapshot_fetches: SnapshotFetches::default(),
             longest_deadlines: IndexMap::new(),
             next_request_id: 0,
@@ -215,7 +215,7 @@
         state
             .rate_limiter
             .set_tolerance(settings.tolerance.usable());
-        state.drain = settings.drain;
+        state.propagation = settings.propagation;
     }
 
     /// Applies a configuration and returns true if it is newer than the current one.
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -64,7 +64,8 @@
             (Topic::Configuration, Role::Follower | Role::StandIn(_)) => {
                 times.follower_watch_wait.into()
             }
-            (Topic::Configuration | Topic::Upstreams, _) => times.watch_wait.into(),
+            (Topic::Configuration, _) => times.watch_wait.into(),
+            (Topic::Upstreams, _) => times.list_watch_wait.into(),
             (Topic::Crashes, _) => CRASHES_WAIT,
         };
         WatchTimes {
@@ -260,12 +261,12 @@
 where
     S: Store,
 {
-    let propagation = PropagationTimes::new(cx.settings.propagation);
     loop {
         let role = followers::role(cx);
         if !role.follows() {
             return;
         }
+        let propagation = PropagationTimes::new(cx.state.borrow().propagation);
         let times = topic.watch_times(role, &propagation);
         let overdue_after = times.wait + Duration::from(propagation.overdue_margin);
         let watched = store.watch(topic, revision, times);
@@ -311,7 +312,7 @@
     let state = cx.state.borrow();
     let failed = state.store_failed_at;
     let is_uncertain = failed.is_some_and(|at| clock::now().since(at) < UNCERTAIN_TIME);
-    let drain = state.drain.0 as f64;
+    let drain = state.propagation.drain.0 as f64;
     is_uncertain.then_some(Span((drain * MAX_DELAY_PART) as u64))
 }
 
