Use the field's terms for statements, updates and reports; give crashes a module of their own

No logic changed; the tests of the core, deadly_part, poison, upstream_notices, metrics and objects are green.

--- a/stoatjunction_core/src/entry/crash_causes.rs
+++ b/stoatjunction_core/src/entry/crash_causes.rs
@@ -2,14 +2,13 @@
 //! that crash it whatever else the request holds. One that is known to do so is no longer sent to any.
 //!
 //! What is known is state and not a series of events: hosts report all of it to each other again and
-//! again, and merge the reports in any order, so that none depends on having heard a certain one.
+//! again, and merge the reports in any order, so that none depends on having received a certain one.
 
 use std::cmp::Reverse;
-use std::fmt;
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
+use super::crash::{Cause, Crash, CrashReport, CrashedRun, ReportedCrash};
 use super::crash_explanation::{BLAMED_CRASHES, Explanation, PartCrash, PartCrashes};
 use crate::time::{Span, Time};
 
@@ -39,69 +38,6 @@
 /// Limit on the remembered causes.
 const MAX_RECORDS: usize = 4_096;
 
-/// What may crash an upstream. All of it that a request holds is a cause of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Cause {
-    /// The whole request, by a fingerprint of path, organisation and body.
-    Request(u64),
-    /// A part of its prompt other than the last, which belongs to it alone, by a fingerprint of the id.
-    PromptPart(u64),
-}
-
-impl fmt::Display for Cause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Cause::Request(fingerprint) => write!(f, "{fingerprint:016x}"),
-            Cause::PromptPart(fingerprint) => write!(f, "part-{fingerprint:016x}"),
-        }
-    }
-}
-
-/// Crash of an upstream while it ran a request, under one of the causes that this holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Crash {
-    /// What it may have crashed under.
-    pub cause: Cause,
-    /// Number of the attempt, so that a crash that is reported twice counts once. Under a part of a prompt
-    /// it is the number of the upstream: several runs with that part may end with one crash.
-    pub attempt: u64,
-}
-
-/// The run that ended with a crash.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CrashedRun {
-    /// Number of the upstream, another one after each start; 0 if unknown.
-    pub upstream: u64,
-    /// Time from the sending to the crash.
-    pub lasted: Span,
-}
-
-/// A crash as reported to other hosts, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedCrash {
-    /// Number of the attempt.
-    pub attempt: u64,
-    /// Number of the upstream.
-    pub upstream: u64,
-    /// Age of the crash.
-    pub age: u64,
-    /// Time from the sending to the crash.
-    pub lasted: u64,
-}
-
-/// What a host knows about one cause, as reported to other hosts. Ages are in milliseconds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// The cause.
-    pub cause: Cause,
-    /// Crashes under it.
-    pub crashes: Vec<ReportedCrash>,
-    /// Age of the last whole response, which refutes earlier crashes.
-    pub cleared: Option<u64>,
-    /// Age of the last refusal.
-    pub refused: Option<u64>,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct KnownCrash {
     attempt: u64,
@@ -132,7 +68,7 @@
     explanation: Explanation,
     /// Stored crashes that no longer count, and have to be removed from the store.
     obsolete: Vec<Crash>,
-    has_news: bool,
+    has_update: bool,
 }
 
 impl CrashCauses {
@@ -161,7 +97,7 @@
             is_stored: false,
         });
         let is_request = matches!(crash.cause, Cause::Request(_));
-        self.has_news |= is_request && record.crashes.len() >= SUSPECT_CRASHES;
+        self.has_update |= is_request && record.crashes.len() >= SUSPECT_CRASHES;
         if !is_request && record.crashes.len() > MAX_PART_CRASHES {
             record.crashes.remove(0);
         }
@@ -192,7 +128,7 @@
             let is_refuted = |c: &ReportedCrash| record.cleared_at >= Some(at(c.age));
             if report.crashes.len() >= SUSPECT_CRASHES && report.crashes.iter().all(is_refuted) {
                 record.is_disputed = true;
-                self.has_news = true;
+                self.has_update = true;
             }
         }
         self.explain();
@@ -277,7 +213,7 @@
             .map(|(cause, r)| (*cause, r.crashes.iter().map(KnownCrash::of_part).collect()))
             .collect();
         let explanation = Explanation::of(crashes);
-        self.has_news |= explanation != self.explanation;
+        self.has_update |= explanation != self.explanation;
         self.explanation = explanation;
     }
 
@@ -317,8 +253,8 @@
     }
 
     /// Returns whether a crash of a suspect request became known since the last call.
-    pub fn take_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
+    pub fn take_update(&mut self) -> bool {
+        std::mem::take(&mut self.has_update)
     }
 
     /// Returns up to `max` reports: what bars requests first, then what other hosts have to learn is refuted,
--- a/stoatjunction_core/src/entry/crash_explanation.rs
+++ b/stoatjunction_core/src/entry/crash_explanation.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexSet;
 
-use super::crash_causes::Cause;
+use super::crash::Cause;
 use crate::time::{Span, Time};
 
 /// Crashes one after the other that blame a part. The operators allow five, and few requests after.
--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! Each host decides on its own, from the requests that it runs and the last reports of the others.
 
 pub mod config;
+pub mod crash;
 pub mod crash_causes;
 pub mod crash_explanation;
 pub mod decaying_rate;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -260,7 +260,7 @@
         upstream.listed.draining || self.notices.is_leaving(upstream.number)
     }
 
-    /// Returns whether a request may be sent to the upstream at this moment: it may have said since the
+    /// Returns whether a request may be sent to the upstream at this moment: it may have stated since the
     /// placement that it leaves or wants a pause. An upstream that is no longer listed may not.
     pub fn may_send(&self, key: UpstreamKey, now: Time) -> bool {
         let upstream = self.upstreams.get(key);
@@ -395,17 +395,17 @@
     /// Records that bytes of a response arrived from an upstream.
     pub fn record_bytes(&mut self, key: UpstreamKey, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.heard_at = now;
+            upstream.last_byte_at = now;
         }
     }
 
-    /// Records what an upstream said at `said_at` of the requests a second that it takes from all hosts
+    /// Records what an upstream stated at `stated_at` of the requests a second that it takes from all hosts
     /// together, and returns whether that changes its limit. Unknown upstreams are ignored.
     pub fn record_limit(
         &mut self,
         number: u64,
         rate: Option<f64>,
-        said_at: Time,
+        stated_at: Time,
         now: Time,
     ) -> bool {
         let key = self.by_number.get(&number);
@@ -413,7 +413,7 @@
             return false;
         };
         let dc = &upstream.listed.dc;
-        self.limits.record(number, dc, rate, said_at, now)
+        self.limits.record(number, dc, rate, stated_at, now)
     }
 
     /// Records what an upstream says of itself, and returns whether that changes anything. Unknown
@@ -430,7 +430,7 @@
         }
     }
 
-    /// Forgets what upstreams said of themselves that are gone for long.
+    /// Forgets what upstreams stated of themselves that are gone for long.
     pub fn expire_statements(&mut self, now: Time) {
         let by_number = &self.by_number;
         self.limits.expire(|n| by_number.contains_key(&n), now);
--- a/stoatjunction_core/src/entry/rate_limiter.rs
+++ b/stoatjunction_core/src/entry/rate_limiter.rs
@@ -22,9 +22,9 @@
 /// Age of a host's last report at which its usage is no longer estimated: it is unreachable by
 /// then.
 const MAX_REPORT_AGE: Span = Span::from_millis(1_600);
-/// Age of a direct report below which its host is surely heard: hosts report four times a second at least,
+/// Age of a direct report below which its host is surely reachable: hosts report four times a second at least,
 /// and are unreachable after 0.7 s.
-const HEARD_AGE: Span = Span::from_millis(600);
+const REPORTING_AGE: Span = Span::from_millis(600);
 /// Longest time between the last report of a host and the moment from which it is known to be unreachable.
 const UNHEARD_TIME: Span = Span::from_millis(1_500);
 /// Age of its last report after which a reporter is removed.
@@ -233,8 +233,8 @@
         let age = self.mean_report_age(now);
         let kept = (share / self.share).min(1.0);
         let lost_hosts = (self.share - share).max(0.0) * known as f64;
-        let heard = self.heard_directly(now);
-        let lost_per_heard = lost_hosts / (heard.len() + 1) as f64;
+        let reporting = self.reporting_hosts(now);
+        let lost_per_reporting = lost_hosts / (reporting.len() + 1) as f64;
         // The initial level was that of a host that knew no other.
         let is_initial = self.reporters.is_empty() || now.since(self.started) < STARTUP_TIME;
         for (subject, bucket) in &mut self.buckets {
@@ -245,11 +245,11 @@
                 // average before, or as this host and those it hears did, whose load may have risen since.
                 let as_before = bucket.others_rate * (1.0 - kept) * age;
                 let own = self.own.get(subject).map_or(0.0, |u| u.recent(now));
-                let of_heard = heard
+                let of_reporting = reporting
                     .iter()
                     .filter_map(|r| self.reported.get(&(*r, *subject)));
-                let of_heard: f64 = of_heard.map(|u| u.recent(now)).sum();
-                let like_heard = (own + of_heard) * lost_per_heard;
+                let of_reporting: f64 = of_reporting.map(|u| u.recent(now)).sum();
+                let like_heard = (own + of_reporting) * lost_per_reporting;
                 let most = bucket.burst + bucket.rate * UNHEARD_TIME.as_secs_f64();
                 bucket.level -= as_before.max(like_heard.min(most));
             }
@@ -262,11 +262,11 @@
         self.share = share;
     }
 
-    /// Returns the reporters that are hosts heard directly.
-    fn heard_directly(&self, now: Time) -> Vec<u64> {
+    /// Returns the hosts that report directly.
+    fn reporting_hosts(&self, now: Time) -> Vec<u64> {
         let hosts = self.reporters.values().filter(|r| r.hosts == 1);
-        let heard = hosts.filter(|r| now.since(r.reported_at) < HEARD_AGE);
-        heard.map(|r| r.id).collect()
+        let reporting = hosts.filter(|r| now.since(r.reported_at) < REPORTING_AGE);
+        reporting.map(|r| r.id).collect()
     }
 
     /// Returns the mean age in seconds of the last reports of the reachable hosts.
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -38,7 +38,7 @@
     pub(super) unaccounted_running: u32,
     pub(super) unaccounted_at: Time,
     /// Time at which this host last received bytes of a response.
-    pub(super) heard_at: Time,
+    pub(super) last_byte_at: Time,
     pub(super) cold_until: Time,
     pub(super) health: Health,
     pub(super) slowdown: Slowdown,
@@ -57,7 +57,7 @@
             reserved_slots: 0,
             unaccounted_running: 0,
             unaccounted_at: Time::default(),
-            heard_at: Time::default(),
+            last_byte_at: Time::default(),
             cold_until: now + Span::from_millis(listed.cold_ms),
             health: Health::default(),
             slowdown: Slowdown::default(),
@@ -70,8 +70,8 @@
     }
 
     /// Returns when this host last received bytes of a response.
-    pub fn heard_at(&self) -> Time {
-        self.heard_at
+    pub fn last_byte_at(&self) -> Time {
+        self.last_byte_at
     }
 
     /// Returns the slowdown relative to the pool and the number of observations behind it.
--- a/stoatjunction_core/src/entry/upstream_limits.rs
+++ b/stoatjunction_core/src/entry/upstream_limits.rs
@@ -29,14 +29,14 @@
 /// Maximum statements in one report; the others follow in later ones.
 const MAX_STATEMENTS: usize = 40;
 
-/// What an upstream last said of its limit, as reported to other hosts.
+/// What an upstream last stated of its limit, as reported to other hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// Number of the upstream.
     pub upstream: u64,
     /// Requests a second; `None` if it no longer names a limit.
     pub rate: Option<f64>,
-    /// Milliseconds since it said so.
+    /// Milliseconds since that statement.
     pub age: u64,
 }
 
@@ -53,7 +53,7 @@
 struct Statement {
     /// Requests a second; `None` if the upstream no longer names a limit.
     rate: Option<f64>,
-    said_at: Time,
+    stated_at: Time,
     /// Data centre of the upstream.
     dc: String,
     /// True while this host is one of those that send to the upstream.
@@ -69,7 +69,7 @@
     limiter: RateLimiter,
     own: SendingHost,
     others: Vec<SendingHost>,
-    has_news: bool,
+    has_update: bool,
 }
 
 impl UpstreamLimits {
@@ -86,25 +86,25 @@
         &mut self.limiter
     }
 
-    /// Records what the upstream in `dc` said at `said_at` of its limit in requests a second, and
-    /// returns whether that changes the limit. What was said before the latest statement is ignored.
+    /// Records what the upstream in `dc` stated at `stated_at` of its limit in requests a second, and
+    /// returns whether that changes the limit. What was stated before the latest statement is ignored.
     pub fn record(
         &mut self,
         upstream: u64,
         dc: &str,
         rate: Option<f64>,
-        said_at: Time,
+        stated_at: Time,
         now: Time,
     ) -> bool {
         let rate = rate.map(|r| r.clamp(MIN_RATE, MAX_RATE));
         let known = self.statements.get(&upstream);
-        if known.is_some_and(|k| k.said_at > said_at) || (known.is_none() && rate.is_none()) {
+        if known.is_some_and(|k| k.stated_at > stated_at) || (known.is_none() && rate.is_none()) {
             return false;
         }
         let has_changed = known.and_then(|k| k.rate) != rate;
         let mut statement = Statement {
             rate,
-            said_at,
+            stated_at,
             dc: dc.to_owned(),
             is_sender: true,
             senders: 1,
@@ -116,7 +116,7 @@
             let at_once = (units as f64 * BURST_TIME.as_secs_f64()) as u64;
             let burst = UNITS_PER_REQUEST + at_once;
             self.limiter.set_limit(upstream, units, burst, now);
-            self.has_news = true;
+            self.has_update = true;
         }
         has_changed
     }
@@ -179,7 +179,7 @@
     /// responded for long.
     pub fn is_uncertain(&self, upstream: u64, now: Time) -> bool {
         let statement = self.statements.get(&upstream);
-        statement.is_some_and(|s| s.rate.is_some() && now.since(s.said_at) >= UNCERTAIN_AFTER)
+        statement.is_some_and(|s| s.rate.is_some() && now.since(s.stated_at) >= UNCERTAIN_AFTER)
     }
 
     /// Returns whether the upstream names a limit.
@@ -197,7 +197,7 @@
     pub fn charge(&mut self, upstream: u64, now: Time) {
         if self.is_limited(upstream) {
             self.limiter.charge(upstream, UNITS_PER_REQUEST, now);
-            self.has_news = true;
+            self.has_update = true;
         }
     }
 
@@ -209,25 +209,25 @@
     }
 
     /// Returns whether a limit has changed, or was used by this host, since the last call.
-    pub fn take_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
+    pub fn take_update(&mut self) -> bool {
+        std::mem::take(&mut self.has_update)
     }
 
-    /// Returns what the upstreams last said of their limits. `draw` decides which are left out when
+    /// Returns what the upstreams last stated of their limits. `draw` decides which are left out when
     /// there are too many.
     pub fn reports<F>(&self, now: Time, mut draw: F) -> Vec<LimitReport>
     where
         F: FnMut() -> u64,
     {
         let is_reported =
-            |s: &Statement| s.rate.is_some() || now.since(s.said_at) < END_REPORTED_FOR;
+            |s: &Statement| s.rate.is_some() || now.since(s.stated_at) < END_REPORTED_FOR;
         let reported = self.statements.iter().filter(|(_, s)| is_reported(s));
         let mut reports: Vec<(u64, LimitReport)> = reported
             .map(|(upstream, s)| {
                 let report = LimitReport {
                     upstream: *upstream,
                     rate: s.rate,
-                    age: now.since(s.said_at).as_millis(),
+                    age: now.since(s.stated_at).as_millis(),
                 };
                 (draw(), report)
             })
@@ -265,7 +265,7 @@
     {
         let limiter = &mut self.limiter;
         self.statements.retain(|upstream, s| {
-            let keep = is_listed(*upstream) || now.since(s.said_at) < STATEMENT_TTL;
+            let keep = is_listed(*upstream) || now.since(s.stated_at) < STATEMENT_TTL;
             if !keep {
                 limiter.forget(*upstream);
             }
--- a/stoatjunction_core/src/entry/upstream_notices.rs
+++ b/stoatjunction_core/src/entry/upstream_notices.rs
@@ -1,7 +1,7 @@
 //! What upstreams say of themselves that keeps requests away from them: that they leave, or that they
 //! want a pause.
 //!
-//! Each host heeds what it heard itself, also while it is cut off from the others, and repeats it as
+//! Each host heeds what it received itself, also while it is cut off from the others, and repeats it as
 //! state, so that one lost message does no harm. The platform's list is no source here: an entry that
 //! was written before the announcement doesn't end it. Another start of the upstream has another number
 //! and begins without any notice.
@@ -60,7 +60,7 @@
 pub struct NoticeReport {
     /// Number of the upstream.
     pub upstream: u64,
-    /// Milliseconds since it first said that it leaves.
+    /// Milliseconds since it first stated that it leaves.
     pub leaving_age: Option<u64>,
     /// Milliseconds since it last asked for a pause, and the milliseconds that it asked for.
     pub pause: Option<(u64, u64)>,
@@ -68,13 +68,13 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Pause {
-    said_at: Time,
+    stated_at: Time,
     length: Span,
 }
 
 impl Pause {
     fn until(self) -> Time {
-        self.said_at + self.length
+        self.stated_at + self.length
     }
 }
 
@@ -82,7 +82,7 @@
 struct Notice {
     leaving_since: Option<Time>,
     pause: Option<Pause>,
-    last_said_at: Time,
+    last_stated_at: Time,
 }
 
 /// Reports on upstreams that are not listed yet, as at a host that starts: it hears the others before it has
@@ -126,7 +126,7 @@
     notices: IndexMap<u64, Notice>,
     /// Differs between hosts, and spreads their return after a pause.
     seed: u64,
-    has_news: bool,
+    has_update: bool,
 }
 
 impl UpstreamNotices {
@@ -138,33 +138,33 @@
         }
     }
 
-    /// Records what an upstream said at `said_at`, and returns whether that changes anything. What was
-    /// said before the latest pause is ignored; the first announcement to leave counts.
-    pub fn record(&mut self, upstream: u64, statement: Statement, said_at: Time) -> bool {
+    /// Records what an upstream stated at `stated_at`, and returns whether that changes anything. What was
+    /// stated before the latest pause is ignored; the first announcement to leave counts.
+    pub fn record(&mut self, upstream: u64, statement: Statement, stated_at: Time) -> bool {
         let notice = self.notices.entry(upstream).or_default();
-        notice.last_said_at = notice.last_said_at.max(said_at);
+        notice.last_stated_at = notice.last_stated_at.max(stated_at);
         let has_changed = match statement {
             Statement::Leaving => {
-                let is_news = notice.leaving_since.is_none();
-                let since = notice.leaving_since.unwrap_or(said_at);
-                notice.leaving_since = Some(since.min(said_at));
-                is_news
+                let is_update = notice.leaving_since.is_none();
+                let since = notice.leaving_since.unwrap_or(stated_at);
+                notice.leaving_since = Some(since.min(stated_at));
+                is_update
             }
             Statement::Pause(length) => {
                 let known = notice.pause;
-                let is_newer = known.is_none_or(|k| k.said_at < said_at);
+                let is_newer = known.is_none_or(|k| k.stated_at < stated_at);
                 let is_needed = known.is_some() || length > Span::ZERO;
                 if is_newer && is_needed {
-                    notice.pause = Some(Pause { said_at, length });
+                    notice.pause = Some(Pause { stated_at, length });
                 }
                 is_newer && is_needed
             }
         };
-        self.has_news |= has_changed;
+        self.has_update |= has_changed;
         has_changed
     }
 
-    /// Returns whether the upstream has said that it leaves.
+    /// Returns whether the upstream has stated that it leaves.
     pub fn is_leaving(&self, upstream: u64) -> bool {
         let notice = self.notices.get(&upstream);
         notice.is_some_and(|n| n.leaving_since.is_some())
@@ -177,7 +177,7 @@
             return Span::ZERO;
         };
         let spread = Span((pause.length.0 as f64 * RETURN_SPREAD) as u64).min(MAX_RETURN_SPREAD);
-        let draw = hash::mix(self.seed ^ upstream ^ pause.said_at.0) >> 40;
+        let draw = hash::mix(self.seed ^ upstream ^ pause.stated_at.0) >> 40;
         let draw = draw as f64 / (1_u64 << 24) as f64;
         now.until(pause.until() + Span((spread.0 as f64 * draw) as u64))
     }
@@ -197,8 +197,8 @@
     }
 
     /// Returns whether a notice has changed since the last call.
-    pub fn take_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
+    pub fn take_update(&mut self) -> bool {
+        std::mem::take(&mut self.has_update)
     }
 
     /// Returns the notices in force. `draw` decides which are left out when there are too many.
@@ -221,7 +221,7 @@
             pause: n
                 .pause
                 .filter(is_reported)
-                .map(|p| (now.since(p.said_at).as_millis(), p.length.as_millis())),
+                .map(|p| (now.since(p.stated_at).as_millis(), p.length.as_millis())),
         });
         reports.filter(|r| r.leaving_age.is_some() || r.pause.is_some())
     }
@@ -248,13 +248,13 @@
         has_changed
     }
 
-    /// Forgets upstreams that are not listed and have said nothing for long. An entry may be missing
+    /// Forgets upstreams that are not listed and have stated nothing for long. An entry may be missing
     /// for a while, as when the store was down.
     pub fn expire<F>(&mut self, is_listed: F, now: Time)
     where
         F: Fn(u64) -> bool,
     {
         self.notices
-            .retain(|upstream, n| is_listed(*upstream) || now.since(n.last_said_at) < NOTICE_TTL);
+            .retain(|upstream, n| is_listed(*upstream) || now.since(n.last_stated_at) < NOTICE_TTL);
     }
 }
--- a/stoatjunction_core/tests/entry_crash_causes.rs
+++ b/stoatjunction_core/tests/entry_crash_causes.rs
@@ -1,9 +1,8 @@
 //! What crashes upstreams: what bars a request, what is forgotten, and what hosts report to each other.
 
 use proptest::prelude::*;
-use stoatjunction_core::entry::crash_causes::{
-    Cause, Crash, CrashCauses, CrashReport, CrashedRun, MAX_CRASHES,
-};
+use stoatjunction_core::entry::crash::{Cause, Crash, CrashReport, CrashedRun};
+use stoatjunction_core::entry::crash_causes::{CrashCauses, MAX_CRASHES};
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
 
@@ -180,7 +179,7 @@
 
     let news = [1, 2, 2, 3].map(|attempt| {
         known.record_crash(crash(attempt), CrashedRun::default(), NOW);
-        known.take_news()
+        known.take_update()
     });
 
     assert_eq!(news, [false, true, false, true]);
--- a/stoatjunction_core/tests/entry_crash_explanation.rs
+++ b/stoatjunction_core/tests/entry_crash_explanation.rs
@@ -1,7 +1,8 @@
 //! Which parts of prompts are to blame for crashes of upstreams, and which only ran beside the one that is.
 
 use fastrand::Rng;
-use stoatjunction_core::entry::crash_causes::{Cause, Crash, CrashCauses, CrashedRun};
+use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
+use stoatjunction_core::entry::crash_causes::CrashCauses;
 use stoatjunction_core::entry::crash_explanation::BLAMED_CRASHES;
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
@@ -162,7 +163,7 @@
     for report in blames.reports(16, now, || 0) {
         knows.merge(&report, now);
     }
-    assert!(knows.take_news());
+    assert!(knows.take_update());
     for report in knows.reports(1, now, || 0) {
         blames.merge(&report, now);
     }
--- a/stoatjunction_core/tests/entry_upstream_limits.rs
+++ b/stoatjunction_core/tests/entry_upstream_limits.rs
@@ -46,9 +46,9 @@
     found.map(|(_, u)| u.number).unwrap()
 }
 
-fn record(pool: &mut Pool, rate: Option<f64>, said_at: Time) -> bool {
+fn record(pool: &mut Pool, rate: Option<f64>, stated_at: Time) -> bool {
     let number = number(pool);
-    pool.record_limit(number, rate, said_at, said_at)
+    pool.record_limit(number, rate, stated_at, stated_at)
 }
 
 fn request(now: Time) -> PlacementRequest {
@@ -327,8 +327,8 @@
             }
             let pool = &mut self.hosts[other].0;
             for report in &said {
-                let said_at = now.saturating_sub(Span::from_millis(report.age));
-                pool.record_limit(report.upstream, report.rate, said_at, now);
+                let stated_at = now.saturating_sub(Span::from_millis(report.age));
+                pool.record_limit(report.upstream, report.rate, stated_at, now);
             }
             pool.limits_mut().record_usage(reporter, &usage, now);
         }
--- a/stoatjunction_dispatcher/src/admin.rs
+++ b/stoatjunction_dispatcher/src/admin.rs
@@ -72,7 +72,7 @@
         let verdict = self.quarantine.release(fingerprint, self.now());
         if let Some(verdict) = verdict {
             self.publish_verdict(verdict);
-            self.send_pending_news();
+            self.send_pending_updates();
         }
         Some(json!({"released": verdict.is_some()}))
     }
@@ -81,7 +81,7 @@
         let upstream = query_value(query, "name")?.to_owned();
         self.bundle.as_ref()?.upstreams.get(&upstream)?;
         self.set_leaving_status(&upstream, LeavingSource::Operator, leaving);
-        self.send_pending_news();
+        self.send_pending_updates();
         Some(json!({"upstream": upstream, "leaving": self.is_leaving(&upstream)}))
     }
 }
--- a/stoatjunction_dispatcher/src/crash_detector.rs
+++ b/stoatjunction_dispatcher/src/crash_detector.rs
@@ -55,7 +55,7 @@
                     .record("run_broke", &[("upstream", &upstream)]);
                 let verdict = self.quarantine.record_crash(fingerprint, alone, now);
                 self.publish_verdict(verdict);
-                self.send_pending_news();
+                self.send_pending_updates();
                 let start = self.crash_detector.starts.get(&upstream).copied();
                 if start.is_some_and(|s| s.first_seen > since) {
                     self.timeline
--- a/stoatjunction_dispatcher/src/daemon.rs
+++ b/stoatjunction_dispatcher/src/daemon.rs
@@ -172,7 +172,7 @@
         bundle: None,
         signed_bundle: None,
         peer_bundle_numbers: HashMap::new(),
-        pending_news: News::default(),
+        pending_updates: News::default(),
     }
 }
 
@@ -236,7 +236,7 @@
             }
             let mut state = self.shared.lock();
             state.schedule_shards();
-            state.send_pending_news();
+            state.send_pending_updates();
             drop(state);
             if let Some(started) = shutdown_started {
                 if started.elapsed() >= MIN_SHUTDOWN_TIME && self.are_queues_empty() {
@@ -304,7 +304,7 @@
             Event::PeerConnected { member, tx } => {
                 state.timeline.record("peer_up", &[("peer", &member.host)]);
                 tx.send(Request::Digest(state.digest()));
-                tx.send(Request::News(Box::new(state.full_news())));
+                tx.send(Request::News(Box::new(state.full_update())));
                 let host = member.host.clone();
                 state.record_contact(&member);
                 state.outgoing_peers.insert(host, tx);
@@ -365,7 +365,7 @@
         state.update_summaries();
         state.record_gauges();
         if round.is_multiple_of(FULL_SYNC_ROUNDS) {
-            let news = state.full_news();
+            let news = state.full_update();
             for tx in state.outgoing_peers.values() {
                 tx.send(Request::News(Box::new(news.clone())));
             }
--- a/stoatjunction_dispatcher/src/gossip.rs
+++ b/stoatjunction_dispatcher/src/gossip.rs
@@ -11,7 +11,7 @@
 
 impl State {
     /// Returns the full gossiped state of this dispatcher.
-    pub(crate) fn full_news(&self) -> News {
+    pub(crate) fn full_update(&self) -> News {
         let now = self.now();
         let known = self.members.iter().map(|r| MemberAge {
             member: r.member.clone(),
@@ -30,7 +30,7 @@
     }
 
     /// Merges received news and queues the changes for forwarding.
-    pub(crate) fn merge_news(&mut self, news: News) {
+    pub(crate) fn merge_update(&mut self, news: News) {
         let now = self.now();
         for reported in news.members {
             self.merge_member(reported);
@@ -48,7 +48,7 @@
             if is_peer_shard && self.shard_summaries.get(&summary.shard) != Some(&summary) {
                 self.shard_summaries
                     .insert(summary.shard.clone(), summary.clone());
-                self.pending_news.shards.push(summary);
+                self.pending_updates.shards.push(summary);
             }
         }
     }
@@ -60,7 +60,7 @@
         let known = self.members.get(&member.host).map(|r| &r.member);
         if known != Some(member) {
             let age = Span::ZERO;
-            self.pending_news.members.push(MemberAge {
+            self.pending_updates.members.push(MemberAge {
                 member: member.clone(),
                 age,
             });
@@ -80,7 +80,7 @@
         self.members
             .record_indirect(reported.member.clone(), reported.age, now);
         if known.as_ref() != Some(&reported.member) {
-            self.pending_news.members.push(reported);
+            self.pending_updates.members.push(reported);
         }
     }
 
@@ -108,7 +108,7 @@
         for shard in self.shards.values_mut() {
             shard.set_leaving(&status.upstream, is_leaving);
         }
-        self.pending_news.leaving.push(status);
+        self.pending_updates.leaving.push(status);
     }
 
     /// Records a leaving status of an upstream that this host received from `source`, unless it is
@@ -145,15 +145,15 @@
         };
         let fingerprint = format!("{:016x}", verdict.fingerprint);
         self.timeline.record(name, &[("fingerprint", &fingerprint)]);
-        self.pending_news.verdicts.push(verdict);
+        self.pending_updates.verdicts.push(verdict);
     }
 
     /// Sends the queued news to peers and subscribed gateways.
-    pub(crate) fn send_pending_news(&mut self) {
-        if self.pending_news.is_empty() {
+    pub(crate) fn send_pending_updates(&mut self) {
+        if self.pending_updates.is_empty() {
             return;
         }
-        let news = std::mem::take(&mut self.pending_news);
+        let news = std::mem::take(&mut self.pending_updates);
         for tx in self.outgoing_peers.values() {
             tx.send(Request::News(Box::new(news.clone())));
         }
--- a/stoatjunction_dispatcher/src/requests.rs
+++ b/stoatjunction_dispatcher/src/requests.rs
@@ -49,12 +49,12 @@
                     self.merge_digest(&host, digest);
                 }
             }
-            Request::News(news) => self.merge_news(*news),
+            Request::News(news) => self.merge_update(*news),
         }
     }
 
     pub(crate) fn subscribe(&mut self, link: LinkId) {
-        let news = self.full_news();
+        let news = self.full_update();
         if let Some(gateway) = self.gateways.get_mut(&link) {
             gateway.subscribed = true;
             gateway.tx.send(Notice::News(Box::new(news)));
--- a/stoatjunction_dispatcher/src/shards.rs
+++ b/stoatjunction_dispatcher/src/shards.rs
@@ -136,7 +136,7 @@
             let summary = round_down_to_powers_of_two(shard.summary(now));
             if self.shard_summaries.get(id) != Some(&summary) {
                 self.shard_summaries.insert(id.clone(), summary.clone());
-                self.pending_news.shards.push(summary);
+                self.pending_updates.shards.push(summary);
             }
         }
     }
--- a/stoatjunction_dispatcher/src/state.rs
+++ b/stoatjunction_dispatcher/src/state.rs
@@ -67,7 +67,7 @@
     /// Last reported numbers of the bundles in force on other hosts.
     pub(crate) peer_bundle_numbers: HashMap<String, u64>,
     /// Changes that were not gossiped yet.
-    pub(crate) pending_news: News,
+    pub(crate) pending_updates: News,
 }
 
 impl State {
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::{Organisation, Route};
-use stoatjunction_core::entry::crash_causes::Cause;
+use stoatjunction_core::entry::crash::Cause;
 use stoatjunction_core::entry::pool::PlacementRequest;
 use stoatjunction_core::entry::prompt_cache::PromptPart;
 use stoatjunction_core::entry::rate_limiter::LimitStatus;
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use stoatjunction_core::entry::config::RouteKind;
-use stoatjunction_core::entry::crash_causes::Cause;
+use stoatjunction_core::entry::crash::Cause;
 use stoatjunction_core::entry::health::RunOutcome;
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
@@ -91,7 +91,7 @@
     DeadlineExceeded,
     /// Upstreams crash under the request; nothing was sent.
     Barred,
-    /// The upstream has said since the placement that it leaves or wants a pause; nothing was sent.
+    /// The upstream has stated since the placement that it leaves or wants a pause; nothing was sent.
     Withdrawn,
     /// The upstream states that it did not run the request.
     NotRun { status: u16 },
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use stoatjunction_core::entry::crash_causes::{Cause, Crash, CrashedRun};
+use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
 use stoatjunction_core::time::Time;
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
--- a/stoatjunction_entry/src/crash_reports.rs
+++ b/stoatjunction_entry/src/crash_reports.rs
@@ -6,7 +6,7 @@
 
 use std::net::IpAddr;
 
-use stoatjunction_core::entry::crash_causes::CrashReport;
+use stoatjunction_core::entry::crash::CrashReport;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
@@ -41,16 +41,16 @@
     ) -> Option<(Vec<CrashReport>, Vec<IpAddr>)> {
         let now = clock::now();
         let mut state = cx.state.borrow_mut();
-        let has_news = state.crash_causes.take_news();
+        let has_update = state.crash_causes.take_update();
         let is_due = now.since(self.repeated_at) >= REPEAT_INTERVAL;
-        if !has_news && !has_new_host && !is_due {
+        if !has_update && !has_new_host && !is_due {
             return None;
         }
         if is_due {
             self.repeated_at = now;
             state.crash_causes.expire(now);
         }
-        if !has_news && !has_new_host {
+        if !has_update && !has_new_host {
             fastrand::shuffle(&mut known);
             known.truncate(REPEAT_RECEIVERS);
         }
--- a/stoatjunction_entry/src/crash_writer.rs
+++ b/stoatjunction_entry/src/crash_writer.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use stoatjunction_core::entry::crash_causes::Crash;
+use stoatjunction_core::entry::crash::Crash;
 
 use crate::clock;
 use crate::followers;
--- a/stoatjunction_entry/src/followers.rs
+++ b/stoatjunction_entry/src/followers.rs
@@ -1,6 +1,6 @@
 //! This host's part in following the platform's store, for itself and for other hosts.
 //!
-//! In a large fleet hosts of other data centres are heard through relays only, so that each data centre
+//! In a large fleet hosts of other data centres report through relays only, so that each data centre
 //! has its own followers. What they read reaches the other hosts as snapshots, and the relays compare
 //! versions between data centres.
 
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::crash_causes::CrashReport;
+use stoatjunction_core::entry::crash::CrashReport;
 use stoatjunction_core::entry::pool::DataCentreHosts;
 use stoatjunction_core::entry::propagation::REPORT_INTERVAL;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
@@ -172,7 +172,7 @@
     }
     let share = state.rate_limiter.share();
     if share != before {
-        log::info!("event=reachable_hosts heard={reachable} known={known} share={share:.3}");
+        log::info!("event=reachable_hosts reachable={reachable} known={known} share={share:.3}");
     }
 }
 
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use stoatjunction_core::entry::crash_causes::{Cause, CrashReport};
+use stoatjunction_core::entry::crash::{Cause, CrashReport};
 use stoatjunction_core::entry::pool::{Load, Upstream, WaitingCounts};
 use stoatjunction_core::entry::rate_limiter::{Reporter, UsageReport};
 
@@ -244,7 +244,7 @@
     };
     log::log!(
         level,
-        "event=crash_heard cause={cause} from={sender} crashes={crashes}"
+        "event=crash_reported cause={cause} from={sender} crashes={crashes}"
     );
 }
 
--- a/stoatjunction_entry/src/limit_reports.rs
+++ b/stoatjunction_entry/src/limit_reports.rs
@@ -25,16 +25,16 @@
     usage: Vec<UsageReport>,
 }
 
-/// Returns this host's own report if it is news, or if the report is a `full` one and there is something
+/// Returns this host's own report if it is an update, or if the report is a `full` one and there is something
 /// to report at all.
 pub(crate) fn build_own(cx: &Context, full: bool) -> Option<LimitsMessage> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    let mut has_news = false;
+    let mut has_update = false;
     for scheduler in state.schedulers.values_mut() {
-        has_news |= scheduler.pool.limits_mut().take_news();
+        has_update |= scheduler.pool.limits_mut().take_update();
     }
-    if !full && !has_news {
+    if !full && !has_update {
         return None;
     }
     let pools = state.schedulers.values().map(|s| &s.pool);
@@ -94,8 +94,8 @@
     for scheduler in state.schedulers.values_mut() {
         let pool = &mut scheduler.pool;
         for report in &message.limits {
-            let said_at = now.saturating_sub(Span::from_millis(report.age));
-            if pool.record_limit(report.upstream, report.rate, said_at, now) {
+            let stated_at = now.saturating_sub(Span::from_millis(report.age));
+            if pool.record_limit(report.upstream, report.rate, stated_at, now) {
                 log_limit(pool.upstream_id(report.upstream), report.rate, Some(sender));
             }
         }
@@ -114,10 +114,10 @@
     }
 }
 
-/// Logs that the limit of an upstream has changed, as said to this host or to the one at `heard_from`.
-pub(crate) fn log_limit(upstream: &str, rate: Option<f64>, heard_from: Option<IpAddr>) {
+/// Logs that the limit of an upstream has changed, as stated to this host or to the one at `reported_by`.
+pub(crate) fn log_limit(upstream: &str, rate: Option<f64>, reported_by: Option<IpAddr>) {
     let rate = rate.map_or("none".to_owned(), |r| format!("{r:.2}"));
-    let from = heard_from.map_or("upstream".to_owned(), |ip| ip.to_string());
+    let from = reported_by.map_or("upstream".to_owned(), |ip| ip.to_string());
     log::info!("event=upstream_limit upstream={upstream} per_s={rate} from={from}");
 }
 
--- a/stoatjunction_entry/src/notice_reports.rs
+++ b/stoatjunction_entry/src/notice_reports.rs
@@ -18,17 +18,17 @@
     notices: Vec<NoticeReport>,
 }
 
-/// Returns this host's report for the hosts that it sends heartbeats to, if it is news, or if the report
+/// Returns this host's report for the hosts that it sends heartbeats to, if it is an update, or if the report
 /// is a `full` one and there is something to report at all.
 pub(crate) fn build_own(cx: &Context, full: bool) -> Option<NoticesMessage> {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    let mut has_news = false;
+    let mut has_update = false;
     for scheduler in state.schedulers.values_mut() {
-        has_news |= scheduler.pool.notices_mut().take_news();
+        has_update |= scheduler.pool.notices_mut().take_update();
     }
     let message = build(&state, false, now);
-    message.filter(|_| full || has_news)
+    message.filter(|_| full || has_update)
 }
 
 /// Returns the relay's report for other data centres.
@@ -69,7 +69,7 @@
     }
 }
 
-/// Logs what an upstream said to this host.
+/// Logs what an upstream stated to this host.
 pub(crate) fn log_statement(upstream: &str, statement: Statement) {
     match statement {
         Statement::Leaving => log::info!("event=upstream_leaving upstream={upstream}"),
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -102,11 +102,11 @@
     }
 
     /// Returns when this host last received bytes from an upstream; long ago if it is not listed.
-    fn heard_at(&self, service: &str, key: UpstreamKey) -> Time {
+    fn last_byte_at(&self, service: &str, key: UpstreamKey) -> Time {
         let state = self.state.borrow();
         let scheduler = state.schedulers.get(service);
         let upstream = scheduler.and_then(|s| s.pool.upstream(key));
-        upstream.map_or(Time::default(), |u| u.heard_at())
+        upstream.map_or(Time::default(), |u| u.last_byte_at())
     }
 
     fn try_place(&self, service: &str, mut request: PlacementRequest) -> TryPlaceResult {
@@ -182,7 +182,7 @@
     sent: RefCell<Option<SentRequest>>,
     sent_at: Cell<Time>,
     /// Time of the sending or of the last bytes received since.
-    heard_at: Cell<Time>,
+    last_byte_at: Cell<Time>,
     /// Silence of the upstream that is suspicious when the run ends without a response.
     silence_limit: Cell<Span>,
     /// Check whether the upstream, which has fallen silent, still accepts connections.
@@ -209,7 +209,7 @@
             number,
             sent: RefCell::new(None),
             sent_at: Cell::default(),
-            heard_at: Cell::default(),
+            last_byte_at: Cell::default(),
             silence_limit: Cell::default(),
             silence_check: RefCell::new(None),
             outcome: None,
@@ -230,7 +230,7 @@
         let sent = SentRequest::new(request, self.number);
         self.sent.replace(Some(sent));
         self.sent_at.set(clock::now());
-        self.heard_at.set(clock::now());
+        self.last_byte_at.set(clock::now());
     }
 
     /// Sets the silence of the upstream from which on an end without a response is suspicious.
@@ -241,7 +241,7 @@
     /// Records that bytes of the response arrived.
     pub(crate) fn record_bytes(&self) {
         let now = clock::now();
-        self.heard_at.set(now);
+        self.last_byte_at.set(now);
         self.with_pool(|pool| pool.record_bytes(self.key, now));
     }
 
@@ -267,7 +267,7 @@
     /// Starts to find out whether the upstream, which has been silent for long, has crashed. A machine
     /// without power resets no connections.
     pub(crate) fn check_silence(&self) {
-        let silence = clock::now().since(self.upstream_heard_at());
+        let silence = clock::now().since(self.upstream_last_byte_at());
         if silence >= self.silence_limit.get() {
             self.spawn_check(Span::ZERO);
         }
@@ -276,7 +276,7 @@
     /// Starts to find out whether the upstream crashed under a run that nobody waits for any more: it is
     /// checked unless it sends something before its silence has lasted for the limit.
     fn check_abandoned(&self) {
-        let silence = clock::now().since(self.upstream_heard_at());
+        let silence = clock::now().since(self.upstream_last_byte_at());
         self.spawn_check(self.silence_limit.get() - silence);
     }
 
@@ -291,19 +291,19 @@
         }
         let (cx, target) = (self.cx.clone(), target.clone());
         let (service, key) = (self.service.clone(), self.key);
-        let heard_at = self.upstream_heard_at();
+        let last_byte_at = self.upstream_last_byte_at();
         *check = Some(tokio::task::spawn_local(async move {
             tokio::time::sleep(delay.into()).await;
-            if cx.heard_at(&service, key) <= heard_at {
+            if cx.last_byte_at(&service, key) <= last_byte_at {
                 crash::check_upstream(&cx, &sent, &target).await;
             }
         }));
     }
 
     /// Returns when this run or any other on the upstream last received bytes.
-    fn upstream_heard_at(&self) -> Time {
-        let heard_at = self.cx.heard_at(&self.service, self.key);
-        heard_at.max(self.heard_at.get())
+    fn upstream_last_byte_at(&self) -> Time {
+        let last_byte_at = self.cx.last_byte_at(&self.service, self.key);
+        last_byte_at.max(self.last_byte_at.get())
     }
 
     /// Waits until it is known whether a silent upstream has crashed, before the request is sent to
@@ -343,11 +343,11 @@
         self.with_pool(|pool| pool.record_load_report(self.key, running, waiting, clock::now()));
     }
 
-    /// Records what the upstream said of its limit in requests a second. That it has none may be as old
+    /// Records what the upstream stated of its limit in requests a second. That it has none may be as old
     /// as the request: other responses may have named one since.
     pub(crate) fn record_limit(&self, rate: Option<f64>) {
         let now = clock::now();
-        let said_at = rate.map_or(self.sent_at.get(), |_| now);
+        let stated_at = rate.map_or(self.sent_at.get(), |_| now);
         let mut state = self.cx.state.borrow_mut();
         let Some(scheduler) = state.schedulers.get_mut(&self.service) else {
             return;
@@ -356,13 +356,13 @@
         let Some(number) = pool.upstream(self.key).map(|u| u.number) else {
             return;
         };
-        if pool.record_limit(number, rate, said_at, now) {
+        if pool.record_limit(number, rate, stated_at, now) {
             limit_reports::log_limit(pool.upstream_id(number), rate, None);
             self.cx.gossip_wakeup.notify_one();
         }
     }
 
-    /// Records what the upstream said of itself.
+    /// Records what the upstream stated of itself.
     pub(crate) fn record_statement(&self, statement: Statement) {
         let now = clock::now();
         let mut state = self.cx.state.borrow_mut();
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -7,7 +7,8 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
-use stoatjunction_core::entry::crash_causes::{Crash, CrashCauses};
+use stoatjunction_core::entry::crash::Crash;
+use stoatjunction_core::entry::crash_causes::CrashCauses;
 use stoatjunction_core::entry::follower_election::FollowerElection;
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::propagation::PropagationBounds;
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
-use stoatjunction_core::entry::crash_causes::{Crash, CrashedRun};
+use stoatjunction_core::entry::crash::{Crash, CrashedRun};
 use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::propagation::{PropagationTimes, ROLE_CHECK_INTERVAL};
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
@@ -197,7 +197,7 @@
     backoff.mul_f64(0.5 + fastrand::f64())
 }
 
-/// Waits until this host has heard the others if it has just started: they may follow the store for it.
+/// Waits until this host knows the others if it has just started: they may follow the store for it.
 /// What changes meanwhile is in the response to the first watch.
 async fn wait_for_others(cx: &Context) {
     let started = cx.state.borrow().started;
--- a/stoatjunction_gateway/src/dispatcher_client/notices.rs
+++ b/stoatjunction_gateway/src/dispatcher_client/notices.rs
@@ -50,7 +50,7 @@
                 self.send_event(ticket, TicketEvent::Revoked { ticket });
             }
             Notice::Digest(digest) => self.apply_digest(host, digest),
-            Notice::News(news) => self.apply_news(*news),
+            Notice::News(news) => self.apply_update(*news),
             Notice::Bundle(signed) => self.install_bundle(*signed),
         }
     }
@@ -98,7 +98,7 @@
         self.changed.notify_waiters();
     }
 
-    fn apply_news(&self, news: News) {
+    fn apply_update(&self, news: News) {
         let now = self.clock.now();
         let mut inner = self.lock();
         for reported in news.members {
