Keep the order of crashes at a host that starts

Found by reading: whether a part of prompts is to blame depends on the order of its crashes. A host that has just booted could not tell times before its boot, so that upstreams lost together before then looked like a row of crashes, and crashes from the store older than five minutes lost their order.

Evidence: a_host_that_starts_bars_a_part_by_what_is_stored, an hour later, is red without the second change; what a freshly booted host makes of reports is not played by processes, since test machines have been up for long.

--- a/stoatjunction_core/src/entry/crash_causes.rs
+++ b/stoatjunction_core/src/entry/crash_causes.rs
@@ -333,7 +333,12 @@
             return;
         }
         let at = now.saturating_sub(age.min(MAX_RESTORED_AGE));
-        self.insert(crash, run, at, now, false);
+        // Older crashes lose their order, which blamed the parts that are stored.
+        let lasted = match age > MAX_RESTORED_AGE {
+            true => Span::ZERO,
+            false => run.lasted,
+        };
+        self.insert(crash, CrashedRun { lasted, ..run }, at, now, false);
         self.explain();
         if self.known(crash).is_none() {
             // It was refuted and removed, but the store has come back from an older copy.
--- a/stoatjunction_core/tests/entry_crash_explanation.rs
+++ b/stoatjunction_core/tests/entry_crash_explanation.rs
@@ -7,7 +7,7 @@
 use stoatjunction_core::time::{Span, Time};
 use yare::parameterized;
 
-const START: Time = Time(60_000_000);
+const START: Time = Time(90_000_000_000);
 /// Duration of a run until it ends with its upstream.
 const RUN: Span = Span::from_millis(100);
 
@@ -131,14 +131,18 @@
     assert!(!known.is_barred(&[request, part(2)]));
 }
 
-#[test]
-fn a_host_that_starts_bars_a_part_by_what_is_stored() {
+#[parameterized(
+    a_second_later = { 1 },
+    an_hour_later = { 3_600 },
+)]
+fn a_host_that_starts_bars_a_part_by_what_is_stored(secs: u64) {
     let known = after_crashes(&[&[1, 2], &[1], &[1, 2], &[1]]);
     let now = at_ms(1_000);
 
     let mut started = CrashCauses::default();
     for stored in known.unstored(true, now) {
         let (run, age) = known.run_and_age(stored, now).unwrap();
+        let age = age + Span::from_millis(1_000 * secs);
         started.restore(stored, run, age, now);
     }
 
@@ -146,6 +150,22 @@
     assert!(!started.is_barred(&[part(2)]));
 }
 
+#[test]
+fn a_host_that_starts_blames_nothing_for_upstreams_that_were_lost_together_before() {
+    let mut known = CrashCauses::default();
+    for upstream in 1..=20 {
+        crash(&mut known, upstream, &[1], at_ms(1_000 + upstream));
+    }
+    let now = at_ms(20_000);
+
+    let mut started = CrashCauses::default();
+    for report in known.reports(16, now, || 0) {
+        started.merge(&report, now);
+    }
+
+    assert!(!started.is_barred(&[part(1)]));
+}
+
 #[test]
 fn only_parts_that_bar_requests_are_stored() {
     let known = after_crashes(&[&[1, 2], &[1], &[1, 2]]);
--- a/stoatjunction_entry/src/clock.rs
+++ b/stoatjunction_entry/src/clock.rs
@@ -7,11 +7,15 @@
 use stoatjunction_core::time::Time;
 use tokio::time::Instant;
 
-/// Returns the time since the host was booted.
+/// Time before the host was booted at which the clock begins. Other hosts and the store report what happened
+/// before then, up to a day ago, and the order of it matters.
+const BEFORE_BOOT: Duration = Duration::from_secs(2 * 24 * 3_600);
+
+/// Returns the time since the clock's beginning.
 pub fn now() -> Time {
     let since_boot = clock_gettime(ClockId::CLOCK_BOOTTIME);
     let since_boot = since_boot.map(Duration::from).unwrap_or_default();
-    Time(since_boot.as_micros() as u64)
+    Time((BEFORE_BOOT + since_boot).as_micros() as u64)
 }
 
 /// Converts `time` to an instant of the runtime's timers.
--- a/stoatjunction_entry/src/crash_reports.rs
+++ b/stoatjunction_entry/src/crash_reports.rs
@@ -1,8 +1,8 @@
-//! Reports between hosts on requests that crash upstreams.
+//! Reports between hosts on what crashes upstreams.
 //!
 //! A new crash travels with the next heartbeats. These reports repeat what is known, so that a host that
 //! missed them, since it was starting, frozen, cut off or in another data centre, learns it from any host
-//! that knows: in a large fleet relays exchange reports, and whoever hears one passes it on.
+//! that knows: in a large fleet relays exchange reports, and whoever receives one passes it on.
 
 use std::net::IpAddr;
 
@@ -32,7 +32,7 @@
 
 impl CrashReporter {
     /// Returns the reports to send now and their receivers out of `known`, the hosts that get this
-    /// host's heartbeats. News, and anything while a host is new, goes to all of them.
+    /// host's heartbeats. Updates, and anything while a host is new, go to all of them.
     pub(crate) fn next(
         &mut self,
         cx: &Context,
