--- a/stoatjunction_core/src/entry/upstream_notices.rs
+++ b/stoatjunction_core/src/entry/upstream_notices.rs
@@ -85,8 +85,8 @@
     last_stated_at: Time,
 }
 
-/// Reports on upstreams that are not listed yet, as at a host that starts: it hears the others before it has
-/// its list.
+/// Reports on upstreams that are not listed yet, as at a host that starts: the first ones arrive before its
+/// list.
 #[derive(Clone, Debug, Default)]
 pub struct EarlyNotices {
     reports: IndexMap<u64, (NoticeReport, Time)>,
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -231,9 +231,8 @@
         }
         Some(e) => {
             log::info!(
-                "event=store_request_failed topic={topic:?} call={call} role={} silent_ms={} reason={e}",
-                role.label(),
-                silence(cx, topic).map_or_else(|| "-".to_owned(), |s| s.as_millis().to_string()),
+                "event=store_request_failed topic={topic:?} call={call} role={} reason={e}",
+                role.label()
             );
             cx.state.borrow_mut().store_failed_at = Some(clock::now());
             set_answered(cx, topic, None);
@@ -242,13 +241,6 @@
     }
 }
 
-/// Returns the time since the store's last response on a topic, if there was one.
-fn silence(cx: &Context, topic: Topic) -> Option<Span> {
-    let state = cx.state.borrow();
-    let answered_at = state.store_answered_at.get(topic as usize)?;
-    answered_at.map(|at| clock::now().since(at))
-}
-
 fn set_answered(cx: &Context, topic: Topic, at: Option<Time>) {
     let answered_at = &mut cx.state.borrow_mut().store_answered_at;
     if let Some(answered_at) = answered_at.get_mut(topic as usize) {
