--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -21,6 +21,7 @@
 pub mod propagation;
 pub mod queue;
 pub mod rate_limiter;
+pub mod report_pacing;
 pub mod retry_budget;
 pub mod route_table;
 pub mod shutdown;
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -3,12 +3,12 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use stoatjunction_core::entry::crash::CrashReport;
 use stoatjunction_core::entry::pool::DataCentreHosts;
 use stoatjunction_core::entry::propagation::REPORT_INTERVAL;
+use stoatjunction_core::entry::report_pacing::report_interval;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
 use stoatjunction_core::time::{Span, Time};
 use tokio::net::UdpSocket;
@@ -21,11 +21,6 @@
 use crate::relay::{self, DataCentreSummary, host_number};
 use crate::state::{Context, Peer, SharedState};
 
-/// Shortest interval between two heartbeats.
-const MIN_INTERVAL: Duration = Duration::from_millis(20);
-/// Receivers up to which the shortest interval applies. With more it grows in proportion, since
-/// each receiver costs processor time.
-const RECEIVERS_AT_MIN_INTERVAL: f64 = 8.0;
 /// Time after the start in which a host that knows no other contacts the seeds at the shortest
 /// interval.
 const SEED_CONTACT_TIME: Span = Span::from_millis(3_000);
@@ -61,7 +56,7 @@
     let mut crash_reporter = CrashReporter::default();
     loop {
         let wait = if is_alone(&cx) {
-            MIN_INTERVAL
+            report_interval(0).into()
         } else {
             REPORT_INTERVAL.into()
         };
@@ -81,9 +76,7 @@
         {
             send(&cx, &socket, &HostMessage::Crashes(reports), &to);
         }
-        let interval =
-            MIN_INTERVAL.mul_f64((receivers as f64 / RECEIVERS_AT_MIN_INTERVAL).max(1.0));
-        tokio::time::sleep(interval).await;
+        tokio::time::sleep(report_interval(receivers).into()).await;
     }
 }
 
