Log the version of upstreams and which streams callers take up again

New: version= in the lines of placements and streams, and event=taken_up with the attempt that brought the first event. No decision reads either yet.

--- a/stoatjunction_core/src/entry/upstream_list.rs
+++ b/stoatjunction_core/src/entry/upstream_list.rs
@@ -48,6 +48,8 @@
     pub born: u64,
     /// Milliseconds after its start for which it is slow, as far as it announced them; 0 otherwise.
     pub cold_ms: u64,
+    /// Version of its software; empty if it names none.
+    pub version: String,
 }
 
 /// Entry of the list with the revision of its last change.
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -19,6 +19,7 @@
 use crate::attempt::UpstreamRequest;
 use crate::clock;
 use crate::event_filter::EventFilter;
+use crate::header_names::HeaderNames;
 use crate::metrics::{self, RequestLabels};
 use crate::read_limit::CountedBody;
 use crate::refusal::Refusal;
@@ -175,6 +176,7 @@
         event_filter: EventFilter::resume_after(number(&names.last_event)),
         route,
     };
+    log_resumption(names, head, &admitted);
     if check_limits(cx, &admitted)? == LimitStatus::Beyond {
         admitted.placement_request.late = true;
         admitted.placement_request.wait_until =
@@ -183,6 +185,20 @@
     Ok(admitted)
 }
 
+/// Logs that a caller takes a stream up again.
+fn log_resumption(names: &HeaderNames, head: &http::request::Parts, admitted: &AdmittedRequest) {
+    let Some(last) = admitted.event_filter.last() else {
+        return;
+    };
+    let first_attempt = head.headers.get(&names.first_attempt);
+    let first_attempt = first_attempt.and_then(|v| v.to_str().ok());
+    log::info!(
+        "event=taken_up request={} first_attempt={} last_event={last}",
+        admitted.request.id_for_log(),
+        first_attempt.unwrap_or("-")
+    );
+}
+
 /// Checks that this host, if it stops, does not have to abort the request.
 fn check_shutdown(cx: &Context, deadline: Time) -> Result<(), Refusal> {
     let shutdown = cx.state.borrow().shutdown;
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -48,6 +48,8 @@
 pub(crate) struct UpstreamTarget {
     pub(crate) id: String,
     pub(crate) addr: String,
+    /// Version of its software, for log lines.
+    pub(crate) version: String,
 }
 
 impl UpstreamTarget {
@@ -56,6 +58,7 @@
         UpstreamTarget {
             id: listed.id.clone(),
             addr: listed.addr.clone(),
+            version: listed.version.clone(),
         }
     }
 }
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -294,9 +294,10 @@
         .upstream(placement.key)
         .map_or(0, |u| u.running(now));
     log::debug!(
-        "event=placed request={} upstream={} service={} running={running} free={} late={} left_ms={}",
+        "event=placed request={} upstream={} version={} service={} running={running} free={} late={} left_ms={}",
         admitted.request.id_for_log(),
         target.id,
+        target.version,
         placement.service(),
         scheduler.pool.free_slots(now),
         admitted.placement_request.late,
--- a/stoatjunction_entry/src/header_names.rs
+++ b/stoatjunction_entry/src/header_names.rs
@@ -31,6 +31,8 @@
     pub leaving: HeaderName,
     /// Id of the last event that the reader of a stream has received.
     pub last_event: HeaderName,
+    /// Id of the caller's request that brought the first event of a stream that it takes up again.
+    pub first_attempt: HeaderName,
     /// Headers that callers may not pass on to upstreams.
     pub reserved: Vec<HeaderName>,
 }
@@ -51,6 +53,7 @@
             limit: HeaderName::from_static("x-limit"),
             leaving: HeaderName::from_static("x-leaving"),
             last_event: HeaderName::from_static("last-event-id"),
+            first_attempt: HeaderName::from_static("x-resumes"),
             reserved: Vec::new(),
         }
     }
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -148,9 +148,10 @@
         };
         log::log!(
             level,
-            "event={event} request={} upstream={} last_event={}",
+            "event={event} request={} upstream={} version={} last_event={}",
             self.request.id_for_log(),
             target.id,
+            target.version,
             self.event_filter.last().unwrap_or(0)
         );
     }
