Let streams go on only at the software version that began them

Cause: no code read `version` of an entry or `Resumes`, so a stream that was resumed, by a host inside one response or by its caller at any host, went to any upstream.

Change: a placement may be bound to a version (PlacementRequest::version), of which the choice, the open circuits, the limits and the alternatives are then judged. A stream is bound at its first event; the host records the version under the id of the attempt and reports it with its heartbeats, twice. In a large fleet relays repeat it to two hosts of one other data centre, in case the whole data centre is lost. A host that does not know a stream asks the others (all of a small fleet, two of each data centre of a large one). A stream that nobody knows goes on if one version only can have begun it, by this host's list and those of the ones that answered; else it is refused at once (2013), and so is one whose version has no upstream left (2014), both as not run. A stream that is taken up counts as a new one in the queue: as a late one it would be refused far more often where its version has few slots.

Ruled out: records in the store (1,800 writes a second on the large site); a version by hash of the request's id (the set of versions changes while streams run); trusting a single listed version without asking (a host that was frozen has an old list).

--- a/stoatjunction_core/src/code.rs
+++ b/stoatjunction_core/src/code.rs
@@ -145,6 +145,10 @@
     Barred = 2011, "barred", 503, NotRun, Later;
     /// Every upstream that received the request reported that it did not run it.
     Declined = 2012, "declined", 503, NotRun, Later;
+    /// Several versions may have begun the stream that the caller takes up, and no host that answers knows which did.
+    OriginUnknown = 2013, "origin-unknown", 503, NotRun, Later;
+    /// No upstream is left of the version that began the stream that the caller takes up.
+    VersionGone = 2014, "version-gone", 503, NotRun, Later;
     /// The upstream's response was interrupted before it was complete.
     UpstreamBroken = 3001, "upstream-broken", 502, Unknown, Later;
     /// The upstream responded with an error status.
--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -27,6 +27,8 @@
 pub mod shutdown;
 pub mod slot_allocation;
 pub mod snapshot_fetches;
+pub mod software_version;
+pub mod stream_origins;
 pub mod upstream;
 pub mod upstream_limits;
 pub mod upstream_list;
--- a/stoatjunction_core/src/entry/placement_request.rs
+++ b/stoatjunction_core/src/entry/placement_request.rs
@@ -2,6 +2,7 @@
 
 use super::pool::UpstreamKey;
 use super::prompt_cache::PromptPart;
+use super::software_version::SoftwareVersion;
 use crate::time::{Span, Time};
 
 /// Requirements of a request for its placement.
@@ -21,6 +22,8 @@
     pub late: bool,
     /// True when the request may be sent again.
     pub idempotent: bool,
+    /// The only version whose upstreams may run the request, once it holds events of it.
+    pub version: Option<SoftwareVersion>,
     /// Upstreams to which the request was already sent.
     pub tried: Vec<UpstreamKey>,
     /// Random number of the request, for draws among requests of equal precedence.
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -8,6 +8,7 @@
 pub use super::peer_reports::DataCentreHosts;
 pub use super::placement_request::{PlacementRequest, Precedence};
 use super::prompt_cache::{PromptCacheIndex, PromptPart};
+use super::software_version::{FormerVersions, SoftwareVersion};
 use super::upstream::upstream_number;
 pub use super::upstream::{Load, Upstream};
 use super::upstream_limits::UpstreamLimits;
@@ -96,6 +97,7 @@
     pub(super) slot_sharers: u32,
     pub(super) limits: UpstreamLimits,
     pub(super) notices: UpstreamNotices,
+    former_versions: FormerVersions,
 }
 
 /// Numbers of waiting requests by precedence.
@@ -125,10 +127,11 @@
             slot_sharers: 0,
             limits: UpstreamLimits::new(Time::default()),
             notices: UpstreamNotices::new(seed),
+            former_versions: FormerVersions::default(),
         }
     }
 
-    /// Updates the upstreams to the latest list. An entry with another start time or address is a
+    /// Updates the upstreams to the latest list. An entry with another start time, address or version is a
     /// new upstream.
     pub fn set_upstreams<'a, I>(&mut self, listed: I, now: Time)
     where
@@ -146,7 +149,7 @@
             .cloned()
             .collect();
         for id in gone {
-            self.remove_upstream(&id);
+            self.remove_upstream(&id, now);
         }
     }
 
@@ -156,23 +159,25 @@
             && let Some(upstream) = self.upstreams.get_mut(key)
             && upstream.listed.born == listed.born
             && upstream.listed.addr == listed.addr
+            && upstream.listed.version == listed.version
         {
             upstream.listed = listed.clone();
             return;
         }
-        self.remove_upstream(&listed.id);
+        self.remove_upstream(&listed.id, now);
         let key = self.upstreams.insert(Upstream::new(listed, now));
         self.by_id.insert(listed.id.clone(), key);
         self.by_number
             .insert(upstream_number(&listed.id, listed.born), key);
     }
 
-    fn remove_upstream(&mut self, id: &str) {
+    fn remove_upstream(&mut self, id: &str, now: Time) {
         let Some(key) = self.by_id.shift_remove(id) else {
             return;
         };
         if let Some(upstream) = self.upstreams.remove(key) {
             self.by_number.swap_remove(&upstream.number);
+            self.former_versions.record(upstream.version, now);
         }
         self.prompt_cache.forget(key);
         for (loads, _) in self.peer_loads.values_mut() {
@@ -195,6 +200,23 @@
         self.upstreams.iter()
     }
 
+    /// Returns the versions that may have begun streams that callers take up: those of listed upstreams, and
+    /// those that were listed lately.
+    pub fn recent_versions(&self, now: Time) -> Vec<SoftwareVersion> {
+        let listed = self.upstreams.iter().map(|(_, u)| u.version);
+        let mut versions: Vec<SoftwareVersion> =
+            listed.chain(self.former_versions.recent(now)).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
+    /// Returns whether any upstream of this version takes requests, now or later.
+    pub fn serves_version(&self, version: SoftwareVersion) -> bool {
+        let mut upstreams = self.upstreams.iter();
+        upstreams.any(|(_, u)| u.version == version && !self.is_leaving(u))
+    }
+
     /// Returns the free slots of all usable upstreams.
     pub fn free_slots(&self, now: Time) -> u32 {
         self.usable(now)
@@ -234,8 +256,18 @@
 
     /// Iterates over the upstreams that may get a run now.
     pub(super) fn usable(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.usable_of(None, now)
+    }
+
+    /// Iterates over the upstreams that may get a run now, of one version if given.
+    pub(super) fn usable_of(
+        &self,
+        version: Option<SoftwareVersion>,
+        now: Time,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let is_allowed = move |u: &Upstream| self.delay(u, now) == Some(Span::ZERO);
-        self.sound(now).filter(move |(_, u)| is_allowed(u))
+        self.sound_of(version, now)
+            .filter(move |(_, u)| is_allowed(u))
     }
 
     /// Returns the time after which this host may send a request to the upstream, by its limit and the
@@ -248,11 +280,24 @@
     /// Iterates over the upstreams that may get runs, now or later within their limits. While all
     /// circuits are open, they are ignored: trying an upstream is better than refusing every request.
     pub(super) fn sound(&self, now: Time) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
-        let is_healthy = move |u: &Upstream| !self.is_leaving(u) && !u.health.is_circuit_open(now);
+        self.sound_of(None, now)
+    }
+
+    /// Iterates over the upstreams that may get runs, now or later, as if those of other versions than the given
+    /// one did not exist.
+    pub(super) fn sound_of(
+        &self,
+        version: Option<SoftwareVersion>,
+        now: Time,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let stays = move |u: &Upstream| {
+            !self.is_leaving(u) && version.is_none_or(|version| u.version == version)
+        };
+        let is_healthy = move |u: &Upstream| stays(u) && !u.health.is_circuit_open(now);
         let any_healthy = self.upstreams.iter().any(|(_, u)| is_healthy(u));
         self.upstreams
             .iter()
-            .filter(move |(_, u)| !self.is_leaving(u) && (is_healthy(u) || !any_healthy))
+            .filter(move |(_, u)| stays(u) && (is_healthy(u) || !any_healthy))
     }
 
     /// Returns whether the upstream leaves, by the platform's list or by its own word.
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -3,6 +3,7 @@
 use super::health::Health;
 use super::latency::Slowdown;
 use super::pool::RunKey;
+use super::software_version::SoftwareVersion;
 use super::upstream_list::ListedUpstream;
 use crate::hash;
 use crate::time::{Span, Time};
@@ -26,6 +27,8 @@
     pub listed: ListedUpstream,
     /// Number that identifies the upstream in messages between hosts.
     pub number: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     pub(super) own_load: Load,
     /// The run that finds out whether the upstream takes requests again after a pause.
     pub(super) probe: Option<RunKey>,
@@ -50,6 +53,7 @@
         Upstream {
             listed: listed.clone(),
             number: upstream_number(&listed.id, listed.born),
+            version: SoftwareVersion::new(&listed.service, &listed.version),
             own_load: Load::default(),
             probe: None,
             peer_load: Load::default(),
--- a/stoatjunction_core/src/entry/upstream_list.rs
+++ b/stoatjunction_core/src/entry/upstream_list.rs
@@ -215,6 +215,7 @@
     let Some(l) = &entry.listed else {
         return 0;
     };
-    let hash = hash::hash_parts(&[id.as_bytes()]) ^ l.born.rotate_left(7) ^ u64::from(l.draining);
+    let named = hash::hash_parts(&[id.as_bytes(), l.version.as_bytes()]);
+    let hash = named ^ l.born.rotate_left(7) ^ u64::from(l.draining);
     hash::mix(hash)
 }
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -13,6 +13,7 @@
 use stoatjunction_core::entry::prompt_cache::PromptPart;
 use stoatjunction_core::entry::rate_limiter::LimitStatus;
 use stoatjunction_core::entry::route_table::{RouteError, RouteTable, choose_service};
+use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
 
@@ -24,6 +25,7 @@
 use crate::read_limit::CountedBody;
 use crate::refusal::Refusal;
 use crate::state::Context;
+use crate::stream_origins;
 
 /// Hop-by-hop headers, which are not forwarded.
 pub(crate) const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -103,7 +105,8 @@
     })?;
     let body = body.to_bytes();
     let (route, organisation) = (route.clone(), organisation.cloned());
-    build_request(cx, &head, body, route, organisation, arrived)
+    let version = stream_origins::resolve(cx, &route, &head.headers).await?;
+    build_request(cx, &head, body, route, organisation, version, arrived)
 }
 
 fn build_request(
@@ -112,6 +115,7 @@
     body: Bytes,
     route: Route,
     organisation: Option<Organisation>,
+    version: Option<SoftwareVersion>,
     arrived: Time,
 ) -> Result<AdmittedRequest, Refusal> {
     let names = &cx.names;
@@ -120,7 +124,11 @@
     };
     let requested_timeout = number(&names.deadline).map(Span::from_millis);
     let timeout = requested_timeout.map_or(route.timeout, |d| d.min(route.timeout));
-    let service = choose_service(&route, fastrand::f64()).ok_or(Refusal::with_retry_after(
+    let service = match version {
+        Some(version) => stream_origins::service_of(cx, &route, version),
+        None => choose_service(&route, fastrand::f64()),
+    };
+    let service = service.ok_or(Refusal::with_retry_after(
         Code::NoUpstream,
         Span::from_millis(1_000),
     ))?;
@@ -140,18 +148,23 @@
     let prompt = prompt.map(parse_prompt_parts);
     let spent = {
         let mut state = cx.state.borrow_mut();
-        requested_timeout.map_or(Span::ZERO, |d| state.elapsed(&route.name, d))
+        let spent = requested_timeout.map_or(Span::ZERO, |d| state.elapsed(&route.name, d));
+        // A stream that is taken up counts as a new one: it may go on at few upstreams, and its first event was in time.
+        if version.is_some() { Span::ZERO } else { spent }
     };
     let deadline = arrived + timeout;
     check_shutdown(cx, deadline)?;
-    let placement_request = placement_request(
-        &route,
-        organisation.as_ref(),
-        prompt,
-        arrived,
-        spent,
-        deadline,
-    );
+    let placement_request = PlacementRequest {
+        version,
+        ..placement_request(
+            &route,
+            organisation.as_ref(),
+            prompt,
+            arrived,
+            spent,
+            deadline,
+        )
+    };
     let request = UpstreamRequest {
         method: head.method.clone(),
         uri: path.parse().map_err(|_| Refusal::new(Code::BadHeader))?,
@@ -275,8 +288,8 @@
         late_wait: Span((route.aim.0 as f64 * LATE_WAIT_FRACTION) as u64),
         late,
         idempotent,
-        tried: Vec::new(),
         salt: fastrand::u64(..),
+        ..PlacementRequest::default()
     }
 }
 
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::crash::Cause;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
 
@@ -48,8 +49,10 @@
 pub(crate) struct UpstreamTarget {
     pub(crate) id: String,
     pub(crate) addr: String,
-    /// Version of its software, for log lines.
-    pub(crate) version: String,
+    /// Version of its software.
+    pub(crate) version: SoftwareVersion,
+    /// Name of that version, for log lines.
+    pub(crate) version_name: String,
 }
 
 impl UpstreamTarget {
@@ -58,7 +61,8 @@
         UpstreamTarget {
             id: listed.id.clone(),
             addr: listed.addr.clone(),
-            version: listed.version.clone(),
+            version: SoftwareVersion::new(&listed.service, &listed.version),
+            version_name: listed.version.clone(),
         }
     }
 }
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -173,7 +173,7 @@
             response_timeout: placement.response_timeout(admitted.route.aim),
             silence_limit: admitted.route.aim,
             may_retry: admitted.attempts + 1 < admitted.route.attempts
-                && placement.has_alternative(&admitted.placement_request.tried),
+                && placement.has_alternative(&admitted.placement_request),
         };
         let result = attempt::send(
             cx,
@@ -297,7 +297,7 @@
         "event=placed request={} upstream={} version={} service={} running={running} free={} late={} left_ms={}",
         admitted.request.id_for_log(),
         target.id,
-        target.version,
+        target.version_name,
         placement.service(),
         scheduler.pool.free_slots(now),
         admitted.placement_request.late,
@@ -424,6 +424,7 @@
         labels: admitted.labels.clone(),
         begun_at: clock::now(),
         event_filter: std::mem::take(&mut admitted.event_filter),
+        is_begun: false,
         tx,
         _in_progress: InProgress::new(cx),
     };
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -10,6 +10,7 @@
 use stoatjunction_core::entry::propagation::REPORT_INTERVAL;
 use stoatjunction_core::entry::report_pacing::report_interval;
 use stoatjunction_core::entry::slot_allocation::HostDemand;
+use stoatjunction_core::entry::stream_origins::Place;
 use stoatjunction_core::time::{Span, Time};
 use tokio::net::UdpSocket;
 
@@ -20,6 +21,7 @@
 use crate::notice_reports::{self, NoticesMessage};
 use crate::relay::{self, DataCentreSummary, host_number};
 use crate::state::{Context, Peer, SharedState};
+use crate::stream_origins::{self, BegunStreams, OriginAnswer, OriginQuery};
 
 /// Time after the start in which a host that knows no other contacts the seeds at the shortest
 /// interval.
@@ -45,13 +47,19 @@
     Crashes(Vec<CrashReport>),
     Limits(LimitsMessage),
     Notices(NoticesMessage),
+    /// Streams that began in another data centre.
+    BegunStreams(BegunStreams),
+    OriginQuery(OriginQuery),
+    OriginAnswer(OriginAnswer),
 }
 
 /// Sends and receives messages for as long as the daemon runs.
 pub(crate) async fn run(cx: Rc<Context>) -> io::Result<()> {
     let addr = SocketAddr::new(cx.settings.ip, cx.settings.heartbeat_port);
-    let socket = Rc::new(UdpSocket::bind(addr).await?);
-    tokio::task::spawn_local(receive(cx.clone(), socket.clone()));
+    let socket = UdpSocket::bind(addr).await?;
+    let was_set = cx.gossip_socket.set(socket);
+    was_set.map_err(|_| io::Error::from(io::ErrorKind::AlreadyExists))?;
+    tokio::task::spawn_local(receive(cx.clone()));
     let mut last_full = clock::now();
     let mut crash_reporter = CrashReporter::default();
     loop {
@@ -68,18 +76,23 @@
         if full {
             last_full = clock::now();
             update_peers(&cx);
-            send_summary(&cx, &socket);
+            send_summary(&cx);
         }
-        let receivers = send_heartbeat(&cx, &socket, full);
+        let receivers = send_heartbeat(&cx, full);
         if let Some((reports, to)) =
             crash_reporter.next(&cx, self::receivers(&cx, full), has_new_host)
         {
-            send(&cx, &socket, &HostMessage::Crashes(reports), &to);
+            send(&cx, &HostMessage::Crashes(reports), &to);
         }
         tokio::time::sleep(report_interval(receivers).into()).await;
     }
 }
 
+/// Asks other hosts at which version a stream began.
+pub(crate) fn send_query(cx: &Context, query: &OriginQuery, hosts: &[IpAddr]) {
+    send(cx, &HostMessage::OriginQuery(query.clone()), hosts);
+}
+
 /// Returns whether this host has started recently and knows no other.
 fn is_alone(cx: &Context) -> bool {
     let state = cx.state.borrow();
@@ -87,21 +100,21 @@
 }
 
 /// Sends a heartbeat and returns the number of receivers.
-fn send_heartbeat(cx: &Context, socket: &UdpSocket, full: bool) -> usize {
+fn send_heartbeat(cx: &Context, full: bool) -> usize {
     let message = HostMessage::Own(Box::new(heartbeat::build(cx, full)));
     let receivers = receivers(cx, full);
-    send(cx, socket, &message, &receivers);
+    send(cx, &message, &receivers);
     if let Some(limits) = limit_reports::build_own(cx, full) {
-        send(cx, socket, &HostMessage::Limits(limits), &receivers);
+        send(cx, &HostMessage::Limits(limits), &receivers);
     }
     if let Some(notices) = notice_reports::build_own(cx, full) {
-        send(cx, socket, &HostMessage::Notices(notices), &receivers);
+        send(cx, &HostMessage::Notices(notices), &receivers);
     }
     receivers.len()
 }
 
 /// Sends the summary of this data centre to the others, if this host is its relay in a large fleet.
-fn send_summary(cx: &Context, socket: &UdpSocket) {
+fn send_summary(cx: &Context) {
     let state = cx.state.borrow();
     if !state.has_many_hosts() || !relay::is_relay(cx, &state) {
         return;
@@ -110,24 +123,32 @@
     let limits = limit_reports::build_relayed(cx, &state);
     let notices = notice_reports::build_relayed(&state);
     let receivers = relay::receivers(cx, &state);
+    let begun_streams = stream_origins::build_relayed(&state, clock::now());
+    let keepers = relay::keepers(cx, &state);
     drop(state);
-    send(cx, socket, &message, &receivers);
+    for streams in begun_streams {
+        send(cx, &HostMessage::BegunStreams(streams), &keepers);
+    }
+    send(cx, &message, &receivers);
     if let Some(limits) = limits {
-        send(cx, socket, &HostMessage::Limits(limits), &receivers);
+        send(cx, &HostMessage::Limits(limits), &receivers);
     }
     if let Some(notices) = notices {
-        send(cx, socket, &HostMessage::Notices(notices), &receivers);
+        send(cx, &HostMessage::Notices(notices), &receivers);
     }
 }
 
-fn send(cx: &Context, socket: &UdpSocket, message: &HostMessage, receivers: &[IpAddr]) {
+fn send(cx: &Context, message: &HostMessage, receivers: &[IpAddr]) {
     match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
-        Ok(bytes) => send_bytes(cx, socket, &bytes, receivers),
+        Ok(bytes) => send_bytes(cx, &bytes, receivers),
         Err(e) => log::warn!("event=message_encode_failed reason={e}"),
     }
 }
 
-fn send_bytes(cx: &Context, socket: &UdpSocket, bytes: &[u8], receivers: &[IpAddr]) {
+fn send_bytes(cx: &Context, bytes: &[u8], receivers: &[IpAddr]) {
+    let Some(socket) = cx.gossip_socket.get() else {
+        return;
+    };
     for ip in receivers {
         let to = SocketAddr::new(*ip, cx.settings.heartbeat_port);
         if let Err(e) = socket.try_send_to(bytes, to) {
@@ -263,7 +284,10 @@
     all
 }
 
-async fn receive(cx: Rc<Context>, socket: Rc<UdpSocket>) {
+async fn receive(cx: Rc<Context>) {
+    let Some(socket) = cx.gossip_socket.get() else {
+        return;
+    };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, sender)) = socket.recv_from(&mut buf).await else {
@@ -274,24 +298,35 @@
         match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
             Ok((HostMessage::Own(report), _)) => heartbeat::receive(&cx, sender.ip(), *report),
             Ok((HostMessage::DataCentre(summary), _)) => {
-                forward_relayed(&cx, &socket, sender.ip(), bytes);
+                forward_relayed(&cx, sender.ip(), bytes);
                 relay::receive(&cx, sender.ip(), summary);
             }
             Ok((HostMessage::Limits(limits), _)) => {
                 if limits.is_relayed() {
-                    forward_relayed(&cx, &socket, sender.ip(), bytes);
+                    forward_relayed(&cx, sender.ip(), bytes);
                 }
                 limit_reports::receive(&cx, sender.ip(), &limits);
             }
             Ok((HostMessage::Notices(notices), _)) => {
                 if notices.is_relayed {
-                    forward_relayed(&cx, &socket, sender.ip(), bytes);
+                    forward_relayed(&cx, sender.ip(), bytes);
                 }
                 notice_reports::receive(&cx, sender.ip(), &notices);
             }
             Ok((HostMessage::Crashes(reports), _)) => {
                 crash_reports::receive(&cx, sender.ip(), &reports);
             }
+            Ok((HostMessage::BegunStreams(streams), _)) => {
+                let state = &mut cx.state.borrow_mut();
+                stream_origins::receive_begun(state, &streams, Place::Elsewhere);
+            }
+            Ok((HostMessage::OriginQuery(query), _)) => {
+                let answer = stream_origins::answer(&cx, &query);
+                send(&cx, &HostMessage::OriginAnswer(answer), &[sender.ip()]);
+            }
+            Ok((HostMessage::OriginAnswer(answer), _)) => {
+                stream_origins::receive_answer(&cx, sender.ip(), answer);
+            }
             Err(e) => log::warn!(
                 "event=message_decode_failed from={} reason={e}",
                 sender.ip()
@@ -302,7 +337,7 @@
 
 /// Forwards a relay's message from another data centre to the hosts of this one, if this host is the
 /// relay here.
-fn forward_relayed(cx: &Context, socket: &UdpSocket, sender: IpAddr, bytes: &[u8]) {
+fn forward_relayed(cx: &Context, sender: IpAddr, bytes: &[u8]) {
     let state = cx.state.borrow();
     let is_local = |p: &Peer| p.dc == cx.settings.dc;
     if state.peers.get(&sender).is_some_and(is_local) || !relay::is_relay(cx, &state) {
@@ -311,5 +346,5 @@
     let local_peers = state.peers.iter().filter(|(_, p)| is_local(p));
     let local_peers: Vec<IpAddr> = local_peers.map(|(ip, _)| *ip).collect();
     drop(state);
-    send_bytes(cx, socket, bytes, &local_peers);
+    send_bytes(cx, bytes, &local_peers);
 }
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -8,11 +8,13 @@
 use stoatjunction_core::entry::crash::{Cause, CrashReport};
 use stoatjunction_core::entry::pool::{Load, Upstream, WaitingCounts};
 use stoatjunction_core::entry::rate_limiter::{Reporter, UsageReport};
+use stoatjunction_core::entry::stream_origins::Place;
 
 use crate::catch_up;
 use crate::clock;
 use crate::followers;
 use crate::state::{Context, Peer, Phase, SharedState};
+use crate::stream_origins::{self, BegunStreams};
 
 /// Observations of an upstream's speed from which its slowdown is reported.
 const MIN_OBSERVATIONS: u32 = 3;
@@ -43,6 +45,8 @@
     pub(crate) prompt_parts: Vec<(u32, u64)>,
     #[serde(rename = "more")]
     pub(crate) details: Option<HeartbeatDetails>,
+    /// Streams that began at this host lately.
+    pub(crate) begun_streams: BegunStreams,
 }
 
 /// Version of a host's configuration and list of upstreams.
@@ -144,6 +148,7 @@
         crashes,
         prompt_parts: std::mem::take(&mut state.pending_updates.prompt_parts),
         details,
+        begun_streams: stream_origins::take_pending(state),
     }
 }
 
@@ -200,6 +205,7 @@
     record_waiting(state, heartbeat.boot, &heartbeat.waiting);
     record_loads(state, heartbeat.boot, &heartbeat.loads);
     record_prompt_parts(state, &heartbeat.prompt_parts);
+    stream_origins::receive_begun(state, &heartbeat.begun_streams, Place::Here);
     let mut peer = Peer {
         boot: heartbeat.boot,
         last_seen: now,
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -36,3 +36,4 @@
 mod statements;
 pub mod store_watch;
 mod stream;
+mod stream_origins;
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -331,11 +331,11 @@
         target_latency + Span::from_secs_f64(TIMEOUT_FORECAST_FACTOR * forecast / 1e3)
     }
 
-    /// Returns whether another upstream that was not `tried` has a free slot.
-    pub(crate) fn has_alternative(&self, tried: &[UpstreamKey]) -> bool {
+    /// Returns whether another upstream that may run the request, and was not tried, has a free slot.
+    pub(crate) fn has_alternative(&self, request: &PlacementRequest) -> bool {
         let state = self.cx.state.borrow();
         let scheduler = state.schedulers.get(&self.service);
-        scheduler.is_some_and(|s| s.pool.has_alternative(self.key, tried, clock::now()))
+        scheduler.is_some_and(|s| s.pool.has_alternative(self.key, request, clock::now()))
     }
 
     /// Records the load that the upstream reported.
--- a/stoatjunction_entry/src/relay.rs
+++ b/stoatjunction_entry/src/relay.rs
@@ -62,23 +62,40 @@
     reachable.all(|(ip, _)| host_number(*ip) > own)
 }
 
-/// Returns the hosts of other data centres that get this one's summary: in each, the first few in
-/// the order in which hosts become the relay.
+/// Returns the hosts of other data centres that get this one's summary.
 pub(crate) fn receivers(cx: &Context, state: &SharedState) -> Vec<IpAddr> {
+    let mut by_dc = first_hosts(state);
+    by_dc.shift_remove(cx.settings.dc.as_str());
+    by_dc.into_values().flatten().collect()
+}
+
+/// Returns the hosts of one other data centre that keep which streams began in this one, in case this one is lost.
+pub(crate) fn keepers(cx: &Context, state: &SharedState) -> Vec<IpAddr> {
+    let mut by_dc = first_hosts(state);
+    by_dc.shift_remove(cx.settings.dc.as_str());
+    let rank = |dc: &str| hash::hash_parts(&[cx.settings.dc.as_bytes(), dc.as_bytes()]);
+    let (_, keepers) = by_dc
+        .into_iter()
+        .max_by_key(|(dc, _)| rank(dc))
+        .unwrap_or_default();
+    keepers
+}
+
+/// Returns the first few other hosts of each data centre in the order in which hosts become the relay.
+pub(crate) fn first_hosts(state: &SharedState) -> IndexMap<&str, Vec<IpAddr>> {
     let now = clock::now();
     let mut by_dc: IndexMap<&str, Vec<(bool, u64, IpAddr)>> = IndexMap::new();
-    for (ip, peer) in &state.peers {
-        if peer.dc != cx.settings.dc && !peer.dc.is_empty() {
-            let known = by_dc.entry(&peer.dc).or_default();
-            known.push((state.is_unreachable(peer, now), host_number(*ip), *ip));
-        }
+    for (ip, peer) in state.peers.iter().filter(|(_, p)| !p.dc.is_empty()) {
+        let known = by_dc.entry(&peer.dc).or_default();
+        known.push((state.is_unreachable(peer, now), host_number(*ip), *ip));
     }
-    let mut receivers = Vec::new();
-    for hosts in by_dc.values_mut() {
+    let first = |mut hosts: Vec<(bool, u64, IpAddr)>| {
         hosts.sort_unstable();
-        receivers.extend(hosts.iter().take(RECEIVERS_PER_DC).map(|(_, _, ip)| *ip));
-    }
-    receivers
+        let first = hosts.into_iter().take(RECEIVERS_PER_DC);
+        first.map(|(_, _, ip)| ip).collect()
+    };
+    let by_dc = by_dc.into_iter();
+    by_dc.map(|(dc, hosts)| (dc, first(hosts))).collect()
 }
 
 /// Returns the number of reachable hosts of this data centre, this one included.
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that the tasks of the daemon share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -18,10 +18,12 @@
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
+use stoatjunction_core::entry::stream_origins::{BegunStream, StreamOrigins};
 use stoatjunction_core::entry::upstream_list::UpstreamList;
 use stoatjunction_core::entry::upstream_notices::EarlyNotices;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::attempt::UpstreamRequest;
@@ -32,6 +34,7 @@
 use crate::metrics::EntryMetrics;
 use crate::placement::ServiceScheduler;
 use crate::settings::EntrySettings;
+use crate::stream_origins::OpenQueries;
 
 /// Phase of the daemon, from start to shutdown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -106,6 +109,8 @@
     pub(crate) crash_causes: CrashCauses,
     /// What other hosts reported of upstreams that are not listed here yet.
     pub(crate) early_notices: EarlyNotices,
+    pub(crate) stream_origins: StreamOrigins,
+    pub(crate) open_queries: OpenQueries,
     pub(crate) pending_updates: PendingUpdates,
     pub(crate) peers: IndexMap<IpAddr, Peer>,
     /// This host's data centre.
@@ -131,6 +136,8 @@
     pub(crate) crashes: Vec<(Crash, u8)>,
     /// Prompt parts with the number of the upstream that they were sent to.
     pub(crate) prompt_parts: Vec<(u32, u64)>,
+    /// Streams that began here with the number of heartbeats that still report them.
+    pub(crate) begun_streams: Vec<(BegunStream, u8)>,
     /// True when a host has joined or restarted and may not know the others yet.
     pub(crate) has_new_host: bool,
 }
@@ -145,6 +152,8 @@
     pub(crate) state: RefCell<SharedState>,
     pub(crate) connections: ConnectionPool,
     pub(crate) metrics: EntryMetrics,
+    /// Socket for messages between hosts, once it is bound.
+    pub(crate) gossip_socket: OnceCell<UdpSocket>,
     /// Wakes the gossip task to send a heartbeat soon.
     pub(crate) gossip_wakeup: Notify,
     /// Wakes the task that decides on waiting requests, when the first one waits.
@@ -179,6 +188,8 @@
             retry_budget: RetryBudget::new(settings.retry_budget, first_start),
             crash_causes: CrashCauses::default(),
             early_notices: EarlyNotices::default(),
+            stream_origins: StreamOrigins::default(),
+            open_queries: OpenQueries::default(),
             pending_updates: PendingUpdates::default(),
             peers: IndexMap::new(),
             dc: settings.dc.clone(),
@@ -201,6 +212,7 @@
             state: RefCell::new(state),
             connections: ConnectionPool::default(),
             metrics,
+            gossip_socket: OnceCell::new(),
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::metrics::RequestLabels;
 use crate::placement::Placement;
 use crate::state::{Context, InProgress};
+use crate::stream_origins;
 
 /// Number of unreachable upstreams after which a request is given up.
 pub(crate) const MAX_UNREACHABLE: u32 = 4;
@@ -43,6 +44,8 @@
     /// Time of the response head.
     pub(crate) begun_at: Time,
     pub(crate) event_filter: EventFilter,
+    /// True once an event was forwarded.
+    pub(crate) is_begun: bool,
     pub(crate) tx: mpsc::Sender<Result<Bytes, StreamAborted>>,
     /// Held from the response head on, so that a shutdown at that moment waits for the stream.
     pub(crate) _in_progress: InProgress,
@@ -100,7 +103,7 @@
             let mut next = None;
             let may_resume = self.kind == RouteKind::Resumable && self.attempts < self.max_attempts;
             match self
-                .forward_segment(&mut response, &placement, may_resume)
+                .forward_segment(&mut response, &placement, &target, may_resume)
                 .await
             {
                 SegmentEnd::Complete => {
@@ -151,7 +154,7 @@
             "event={event} request={} upstream={} version={} last_event={}",
             self.request.id_for_log(),
             target.id,
-            target.version,
+            target.version_name,
             self.event_filter.last().unwrap_or(0)
         );
     }
@@ -162,6 +165,7 @@
         &mut self,
         response: &mut UpstreamResponse,
         placement: &Placement,
+        target: &UpstreamTarget,
         may_resume: bool,
     ) -> SegmentEnd {
         let deadline = tokio::time::sleep_until(clock::instant(self.deadline));
@@ -204,12 +208,26 @@
             if self.event_filter.received() > received {
                 last_event_at = clock::now();
             }
-            if !events.is_empty() && self.tx.send(Ok(events)).await.is_err() {
+            if events.is_empty() {
+                continue;
+            }
+            self.record_begun(target);
+            if self.tx.send(Ok(events)).await.is_err() {
                 return SegmentEnd::CallerGone;
             }
         }
     }
 
+    /// Records, at the first event, the version at which the stream has to go on from now on.
+    fn record_begun(&mut self, target: &UpstreamTarget) {
+        let has_begun = self.event_filter.last().is_some();
+        if self.kind == RouteKind::Resumable && has_begun && !self.is_begun {
+            self.is_begun = true;
+            self.placement_request.version = Some(target.version);
+            stream_origins::record_begun(&self.cx, &self.request, target.version);
+        }
+    }
+
     fn event_timeout(&self) -> Span {
         self.target_gap
             .map_or(DEFAULT_EVENT_TIMEOUT, |g| Span(g.0 * EVENT_TIMEOUT_GAPS))
@@ -257,7 +275,7 @@
                 response_timeout: placement.response_timeout(self.target_latency),
                 silence_limit: self.target_latency,
                 may_retry: self.attempts + 1 < self.max_attempts
-                    && placement.has_alternative(&self.placement_request.tried),
+                    && placement.has_alternative(&self.placement_request),
             };
             let attempt = attempt::send(
                 &self.cx,
