Send no bound stream to an upstream that may be back as another version

What callers would see: while the store is away a host's list is old; an upstream that crashes and starts again under its id as another version is still listed as the former one, accepts the expected id, and a stream goes on there mixed.

Change: an upstream that broke off at any host (own runs, and the crash reports of others), while the list may be old, is of no sure version until the list has been up to date for 2 s. Bound streams go elsewhere or are refused; a stream that begins there goes on nowhere else. A segment whose upstream turns out to be another start before its first event is not forwarded.

Ruled out: doubting each upstream whose connection breaks also while the list is up to date. A host whose connections are reset could then resume none of its streams, for a window of some ten ms in which followers have the new entry already.

Remains: between a restart and the new entry at a host (the list being up to date), and until a silent store is noticed (up to 4 s).

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -12,6 +12,7 @@
 pub mod follower_election;
 pub mod health;
 pub mod latency;
+pub mod list_doubt;
 mod peer_reports;
 mod placement;
 pub mod placement_request;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -5,6 +5,7 @@
 use super::decaying_rate::DecayingRate;
 use super::health::RunOutcome;
 use super::latency::LatencyModel;
+use super::list_doubt::ListDoubt;
 pub use super::peer_reports::DataCentreHosts;
 pub use super::placement_request::{PlacementRequest, Precedence};
 use super::prompt_cache::{PromptCacheIndex, PromptPart};
@@ -98,6 +99,7 @@
     pub(super) limits: UpstreamLimits,
     pub(super) notices: UpstreamNotices,
     former_versions: FormerVersions,
+    list_doubt: ListDoubt,
 }
 
 /// Numbers of waiting requests by precedence.
@@ -128,6 +130,7 @@
             limits: UpstreamLimits::new(Time::default()),
             notices: UpstreamNotices::new(seed),
             former_versions: FormerVersions::default(),
+            list_doubt: ListDoubt::default(),
         }
     }
 
@@ -211,10 +214,39 @@
         versions
     }
 
-    /// Returns whether any upstream of this version takes requests, now or later.
+    /// Returns whether any upstream that surely is of this version takes requests, now or later.
     pub fn serves_version(&self, version: SoftwareVersion) -> bool {
         let mut upstreams = self.upstreams.iter();
-        upstreams.any(|(_, u)| u.version == version && !self.is_leaving(u))
+        upstreams.any(|(_, u)| self.is_surely(u, version) && !self.is_leaving(u))
+    }
+
+    /// Returns whether a run that was placed on the upstream `key`, named `id` and listed as of `version`, surely runs
+    /// at that version. It does not if the upstream may have started again as another one before.
+    pub fn runs_surely_at(&self, key: UpstreamKey, id: &str, version: SoftwareVersion) -> bool {
+        if let Some(upstream) = self.upstreams.get(key) {
+            return self.is_surely(upstream, version);
+        }
+        let successor = self.by_id.get(id).and_then(|key| self.upstreams.get(*key));
+        successor.is_none_or(|u| u.version == version)
+    }
+
+    fn is_surely(&self, upstream: &Upstream, version: SoftwareVersion) -> bool {
+        let broke_at = upstream.broke_at;
+        let may_differ = broke_at.is_some_and(|at| self.list_doubt.may_have_restarted(at));
+        upstream.version == version && !may_differ
+    }
+
+    /// Sets whether the list of upstreams may be old.
+    pub fn set_list_doubt(&mut self, list_doubt: ListDoubt) {
+        self.list_doubt = list_doubt;
+    }
+
+    /// Records that a run at the upstream with this number broke off, at any host.
+    pub fn record_break(&mut self, number: u64, now: Time) {
+        let key = self.by_number.get(&number);
+        if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
+            upstream.broke_at = Some(now);
+        }
     }
 
     /// Returns the free slots of all usable upstreams.
@@ -291,7 +323,7 @@
         now: Time,
     ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let stays = move |u: &Upstream| {
-            !self.is_leaving(u) && version.is_none_or(|version| u.version == version)
+            !self.is_leaving(u) && version.is_none_or(|version| self.is_surely(u, version))
         };
         let is_healthy = move |u: &Upstream| stays(u) && !u.health.is_circuit_open(now);
         let any_healthy = self.upstreams.iter().any(|(_, u)| is_healthy(u));
@@ -418,7 +450,7 @@
             self.mean_run_ms += (ms - self.mean_run_ms) * weight;
         }
         if let Some(outcome) = outcome {
-            upstream.health.observe(outcome, now);
+            upstream.observe(outcome, now);
         }
         if outcome == Some(RunOutcome::Shed) {
             upstream.mark_full(now);
@@ -433,7 +465,7 @@
     /// Records an outcome that does not end a run.
     pub fn record_outcome(&mut self, key: UpstreamKey, outcome: RunOutcome, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            upstream.health.observe(outcome, now);
+            upstream.observe(outcome, now);
         }
     }
 
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -1,6 +1,6 @@
 //! State of one upstream in a pool: its load, health and speed as known to this host.
 
-use super::health::Health;
+use super::health::{Health, RunOutcome};
 use super::latency::Slowdown;
 use super::pool::RunKey;
 use super::software_version::SoftwareVersion;
@@ -42,6 +42,8 @@
     pub(super) unaccounted_at: Time,
     /// Time at which this host last received bytes of a response.
     pub(super) last_byte_at: Time,
+    /// Time at which a run broke off, or a connection failed, at any host.
+    pub(super) broke_at: Option<Time>,
     pub(super) cold_until: Time,
     pub(super) health: Health,
     pub(super) slowdown: Slowdown,
@@ -62,6 +64,7 @@
             unaccounted_running: 0,
             unaccounted_at: Time::default(),
             last_byte_at: Time::default(),
+            broke_at: None,
             cold_until: now + Span::from_millis(listed.cold_ms),
             health: Health::default(),
             slowdown: Slowdown::default(),
@@ -122,6 +125,14 @@
             .saturating_sub(self.running(now) + reserved)
     }
 
+    /// Records how a run, or the attempt to start one, ended.
+    pub(super) fn observe(&mut self, outcome: RunOutcome, now: Time) {
+        self.health.observe(outcome, now);
+        if matches!(outcome, RunOutcome::Broken | RunOutcome::Unreachable) {
+            self.broke_at = Some(now);
+        }
+    }
+
     /// Records that the upstream turned out to be full although slots seemed free.
     pub(super) fn mark_full(&mut self, now: Time) {
         let known = self.own_load.running + self.peer_load.running;
--- a/stoatjunction_core/tests/entry_stream_versions.rs
+++ b/stoatjunction_core/tests/entry_stream_versions.rs
@@ -3,6 +3,7 @@
 use std::collections::BinaryHeap;
 
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::list_doubt::ListDoubt;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::Queue;
 use stoatjunction_core::entry::software_version::{MAX_STREAM_AGE, SoftwareVersion};
@@ -200,6 +201,65 @@
     assert_eq!(decision, Decision::Place(UpstreamKey(1)));
 }
 
+/// Returns the doubt about a list that is old from 1 s to 10 s.
+fn doubt_until(now: Time) -> ListDoubt {
+    let mut doubt = ListDoubt::default();
+    let mut t = START;
+    while t <= now {
+        let is_current = t < ms(1_000) || t >= ms(10_000);
+        doubt.update(is_current, t);
+        t = t + Span::from_millis(250);
+    }
+    doubt
+}
+
+#[parameterized(
+    while_the_list_is_up_to_date = { 500, 750, false },
+    shortly_before_it_grew_old = { 0, 9_000, true },
+    while_it_is_old = { 5_000, 9_000, true },
+    right_after_it_is_up_to_date_again = { 5_000, 11_000, true },
+    once_the_entries_are_back = { 5_000, 12_500, false },
+)]
+fn an_upstream_that_broke_off_while_the_list_was_old_may_be_another_version(
+    broke_at: u64,
+    now: u64,
+    is_in_doubt: bool,
+) {
+    let mut pool = pool_of(&["v1", "v1"]);
+    let number = pool.upstream(UpstreamKey(0)).expect("it is listed").number;
+    pool.record_break(number, ms(broke_at));
+
+    pool.set_list_doubt(doubt_until(ms(now)));
+
+    let is_sure = pool.runs_surely_at(UpstreamKey(0), "u0", version("v1"));
+    assert_eq!(is_sure, !is_in_doubt);
+    assert!(pool.runs_surely_at(UpstreamKey(1), "u1", version("v1")));
+}
+
+#[parameterized(
+    left_the_list = { &["v1"], true },
+    started_again_as_the_same = { &["v1", "v1"], true },
+    started_again_as_another = { &["v1", "v2"], false },
+)]
+fn a_run_whose_upstream_starts_again_as_another_version_counts_for_none(
+    later: &[&str],
+    is_sure: bool,
+) {
+    let mut pool = pool_of(&["v1", "v1"]);
+    let restarted = ListedUpstream {
+        born: 2,
+        ..listed(1, later.last().copied().unwrap_or_default())
+    };
+    let rest = (later.len() > 1).then_some(restarted);
+
+    pool.set_upstreams([listed(0, "v1")].iter().chain(&rest), ms(1));
+
+    assert_eq!(
+        pool.runs_surely_at(UpstreamKey(1), "u1", version("v1")),
+        is_sure
+    );
+}
+
 /// Shares of requests that were placed: of streams that are taken up, and of new ones.
 struct Shares {
     taken_up: f64,
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -424,7 +424,6 @@
         labels: admitted.labels.clone(),
         begun_at: clock::now(),
         event_filter: std::mem::take(&mut admitted.event_filter),
-        is_begun: false,
         tx,
         _in_progress: InProgress::new(cx),
     };
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -196,6 +196,7 @@
     let mut state = cx.state.borrow_mut();
     let state = &mut *state;
     remove_expired_peers(state, now);
+    state.update_list_doubt(now);
     for limiter in state.rate_limiters() {
         limiter.remove_stale_reporters(now);
     }
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -242,6 +242,11 @@
     if !state.crash_causes.merge(report, clock::now()) {
         return;
     }
+    for scheduler in state.schedulers.values_mut() {
+        for crash in &report.crashes {
+            scheduler.pool.record_break(crash.upstream, clock::now());
+        }
+    }
     let cause = report.cause;
     let crashes = state.crash_causes.crash_count(cause);
     let level = match (cause, crashes) {
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -7,6 +7,7 @@
 use stoatjunction_core::entry::health::RunOutcome;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
+use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::upstream_notices::Statement;
 use stoatjunction_core::time::{Span, Time};
 use tokio::sync::oneshot;
@@ -225,6 +226,15 @@
         self.target.clone()
     }
 
+    /// Returns the version of the upstream; `None` if it may have started again as another one.
+    pub(crate) fn version(&self) -> Option<SoftwareVersion> {
+        let target = self.target.as_ref()?;
+        let state = self.cx.state.borrow();
+        let pool = &state.schedulers.get(&self.service)?.pool;
+        let is_sure = pool.runs_surely_at(self.key, &target.id, target.version);
+        is_sure.then_some(target.version)
+    }
+
     /// Records that the upstream may run the request from now on.
     pub(crate) fn mark_sent(&self, request: &UpstreamRequest) {
         let sent = SentRequest::new(request, self.number);
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -10,6 +10,7 @@
 use stoatjunction_core::entry::crash::Crash;
 use stoatjunction_core::entry::crash_causes::CrashCauses;
 use stoatjunction_core::entry::follower_election::FollowerElection;
+use stoatjunction_core::entry::list_doubt::ListDoubt;
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::propagation::PropagationBounds;
 use stoatjunction_core::entry::queue::RequestId;
@@ -109,6 +110,7 @@
     pub(crate) crash_causes: CrashCauses,
     /// What other hosts reported of upstreams that are not listed here yet.
     pub(crate) early_notices: EarlyNotices,
+    pub(crate) list_doubt: ListDoubt,
     pub(crate) stream_origins: StreamOrigins,
     pub(crate) open_queries: OpenQueries,
     pub(crate) pending_updates: PendingUpdates,
@@ -188,6 +190,7 @@
             retry_budget: RetryBudget::new(settings.retry_budget, first_start),
             crash_causes: CrashCauses::default(),
             early_notices: EarlyNotices::default(),
+            list_doubt: ListDoubt::default(),
             stream_origins: StreamOrigins::default(),
             open_queries: OpenQueries::default(),
             pending_updates: PendingUpdates::default(),
@@ -365,6 +368,8 @@
 const PEER_TIMEOUT: Span = Span::from_millis(700);
 /// The same for a host that only relays report on.
 const RELAYED_PEER_TIMEOUT: Span = Span::from_millis(1_500);
+/// Longest time between two calls of a host that the store does not answer, with a margin.
+const MAX_STORE_PAUSE: Span = Span::from_millis(16_000);
 /// Number of other hosts above which only relays report to other data centres.
 const MANY_HOSTS: usize = 24;
 
@@ -411,6 +416,28 @@
         rate_limiter::reachable_hosts(now.since(self.started), reachable, self.peers.len() + 1)
     }
 
+    /// Returns whether the list of upstreams is up to date: the store answers this host, or one that follows it, or
+    /// nobody asks it in vain.
+    pub(crate) fn is_list_current(&self, now: Time) -> bool {
+        let [_, answered_at] = self.store_answered_at;
+        let mut reachable = self.peers.values().filter(|p| !self.is_unreachable(p, now));
+        let failed_lately = |at: Time| now.since(at) < MAX_STORE_PAUSE;
+        answered_at.is_some()
+            || reachable.any(|p| p.follows)
+            || !self.store_failed_at.is_some_and(failed_lately)
+    }
+
+    /// Updates whether the list of upstreams may be old.
+    pub(crate) fn update_list_doubt(&mut self, now: Time) {
+        let is_current = self.is_list_current(now);
+        if self.list_doubt.update(is_current, now) {
+            log::info!("event=list_doubt current={is_current}");
+        }
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.pool.set_list_doubt(self.list_doubt);
+        }
+    }
+
     /// Returns whether this host knows others, or has been looking for long enough to be the only one.
     pub(crate) fn has_discovered_hosts(&self, now: Time) -> bool {
         !self.peers.is_empty() || now.since(self.started) >= rate_limiter::DISCOVERY_TIME
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -44,8 +44,6 @@
     /// Time of the response head.
     pub(crate) begun_at: Time,
     pub(crate) event_filter: EventFilter,
-    /// True once an event was forwarded.
-    pub(crate) is_begun: bool,
     pub(crate) tx: mpsc::Sender<Result<Bytes, StreamAborted>>,
     /// Held from the response head on, so that a shutdown at that moment waits for the stream.
     pub(crate) _in_progress: InProgress,
@@ -103,7 +101,7 @@
             let mut next = None;
             let may_resume = self.kind == RouteKind::Resumable && self.attempts < self.max_attempts;
             match self
-                .forward_segment(&mut response, &placement, &target, may_resume)
+                .forward_segment(&mut response, &placement, may_resume)
                 .await
             {
                 SegmentEnd::Complete => {
@@ -165,12 +163,12 @@
         &mut self,
         response: &mut UpstreamResponse,
         placement: &Placement,
-        target: &UpstreamTarget,
         may_resume: bool,
     ) -> SegmentEnd {
         let deadline = tokio::time::sleep_until(clock::instant(self.deadline));
         let event_timeout = self.event_timeout();
         placement.set_silence_limit(self.target_gap.unwrap_or(DEFAULT_EVENT_TIMEOUT));
+        let mut has_events = false;
         let mut last_event_at = clock::now();
         let event_timer = tokio::time::sleep_until(clock::instant(last_event_at + event_timeout));
         tokio::pin!(deadline, event_timer);
@@ -211,21 +209,30 @@
             if events.is_empty() {
                 continue;
             }
-            self.record_begun(target);
+            if !std::mem::replace(&mut has_events, true) && !self.bind_version(placement) {
+                return SegmentEnd::Broken;
+            }
             if self.tx.send(Ok(events)).await.is_err() {
                 return SegmentEnd::CallerGone;
             }
         }
     }
 
-    /// Records, at the first event, the version at which the stream has to go on from now on.
-    fn record_begun(&mut self, target: &UpstreamTarget) {
-        let has_begun = self.event_filter.last().is_some();
-        if self.kind == RouteKind::Resumable && has_begun && !self.is_begun {
-            self.is_begun = true;
-            self.placement_request.version = Some(target.version);
-            stream_origins::record_begun(&self.cx, &self.request, target.version);
+    /// Binds the stream to the version of the upstream that sends its first event, and returns whether events of this
+    /// upstream may be forwarded.
+    fn bind_version(&mut self, placement: &Placement) -> bool {
+        if self.kind != RouteKind::Resumable {
+            return true;
+        }
+        let version = placement.version();
+        if self.placement_request.version.is_some() && self.placement_request.version != version {
+            return false;
         }
+        // A stream of an unsure version goes on nowhere else.
+        let version = version.unwrap_or_default();
+        self.placement_request.version = Some(version);
+        stream_origins::record_begun(&self.cx, &self.request, version);
+        true
     }
 
     fn event_timeout(&self) -> Span {
