Report upstreams that are down to the other hosts; take streams up under random faults

Cause, by the logs: an upstream is back as another version while the store leaves or refuses all calls, which hosts notice up to 4 s later; until then their lists still name its former start. Change: an upstream that accepted no connection is of no sure version for 7 s, in which the list would name a new start or be known to be old; hosts report that with their heartbeats, since those that were just started have tried nothing. The list counts as old as soon as any topic of the store is overdue, not only that of the upstreams.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -215,25 +215,31 @@
     }
 
     /// Returns whether any upstream that surely is of this version takes requests, now or later.
-    pub fn serves_version(&self, version: SoftwareVersion) -> bool {
+    pub fn serves_version(&self, version: SoftwareVersion, now: Time) -> bool {
         let mut upstreams = self.upstreams.iter();
-        upstreams.any(|(_, u)| self.is_surely(u, version) && !self.is_leaving(u))
+        upstreams.any(|(_, u)| self.is_surely(u, version, now) && !self.is_leaving(u))
     }
 
     /// Returns whether a run that was placed on the upstream `key`, named `id` and listed as of `version`, surely runs
     /// at that version. It does not if the upstream may have started again as another one before.
-    pub fn runs_surely_at(&self, key: UpstreamKey, id: &str, version: SoftwareVersion) -> bool {
+    pub fn runs_surely_at(
+        &self,
+        key: UpstreamKey,
+        id: &str,
+        version: SoftwareVersion,
+        now: Time,
+    ) -> bool {
         if let Some(upstream) = self.upstreams.get(key) {
-            return self.is_surely(upstream, version);
+            return self.is_surely(upstream, version, now);
         }
         let successor = self.by_id.get(id).and_then(|key| self.upstreams.get(*key));
         successor.is_none_or(|u| u.version == version)
     }
 
-    fn is_surely(&self, upstream: &Upstream, version: SoftwareVersion) -> bool {
+    fn is_surely(&self, upstream: &Upstream, version: SoftwareVersion, now: Time) -> bool {
         let broke_at = upstream.broke_at;
         let may_differ = broke_at.is_some_and(|at| self.list_doubt.may_have_restarted(at));
-        upstream.version == version && !may_differ
+        upstream.version == version && !may_differ && !upstream.was_down_lately(now)
     }
 
     /// Sets whether the list of upstreams may be old.
@@ -249,6 +255,23 @@
         }
     }
 
+    /// Iterates over the numbers of the upstreams that were down lately, at this host or at others, and how long ago.
+    pub fn lately_down(&self, now: Time) -> impl Iterator<Item = (u64, Span)> {
+        let down = self
+            .upstreams
+            .iter()
+            .filter(move |(_, u)| u.was_down_lately(now));
+        down.filter_map(move |(_, u)| Some((u.number, now.since(u.down_at?))))
+    }
+
+    /// Records that the upstream with this number accepted no connection from another host.
+    pub fn record_down(&mut self, number: u64, at: Time) {
+        let key = self.by_number.get(&number);
+        if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
+            upstream.down_at = upstream.down_at.max(Some(at));
+        }
+    }
+
     /// Returns the free slots of all usable upstreams.
     pub fn free_slots(&self, now: Time) -> u32 {
         self.usable(now)
@@ -323,7 +346,7 @@
         now: Time,
     ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let stays = move |u: &Upstream| {
-            !self.is_leaving(u) && version.is_none_or(|version| self.is_surely(u, version))
+            !self.is_leaving(u) && version.is_none_or(|version| self.is_surely(u, version, now))
         };
         let is_healthy = move |u: &Upstream| stays(u) && !u.health.is_circuit_open(now);
         let any_healthy = self.upstreams.iter().any(|(_, u)| is_healthy(u));
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -11,6 +11,10 @@
 /// Time for which load that no known run accounts for is assumed to last.
 const UNACCOUNTED_AGE: Span = Span::from_millis(500);
 
+/// Time after which an upstream that was down is known to have kept its start, if the list says so: it is tried at least
+/// every 3 s while it is down, and a list that grows old is noticed within 4 s.
+const RESTART_TIME: Span = Span::from_millis(7_000);
+
 /// Load that runs put on an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -44,6 +48,8 @@
     pub(super) last_byte_at: Time,
     /// Time at which a run broke off, or a connection failed, at any host.
     pub(super) broke_at: Option<Time>,
+    /// Time at which it last accepted no connection from a host.
+    pub(super) down_at: Option<Time>,
     pub(super) cold_until: Time,
     pub(super) health: Health,
     pub(super) slowdown: Slowdown,
@@ -65,6 +71,7 @@
             unaccounted_at: Time::default(),
             last_byte_at: Time::default(),
             broke_at: None,
+            down_at: None,
             cold_until: now + Span::from_millis(listed.cold_ms),
             health: Health::default(),
             slowdown: Slowdown::default(),
@@ -131,6 +138,14 @@
         if matches!(outcome, RunOutcome::Broken | RunOutcome::Unreachable) {
             self.broke_at = Some(now);
         }
+        if outcome == RunOutcome::Unreachable {
+            self.down_at = Some(now);
+        }
+    }
+
+    /// Returns whether it was down so lately that it may have started again without an entry that says so.
+    pub(super) fn was_down_lately(&self, now: Time) -> bool {
+        self.down_at.is_some_and(|at| now.since(at) < RESTART_TIME)
     }
 
     /// Records that the upstream turned out to be full although slots seemed free.
--- a/stoatjunction_core/tests/entry_stream_versions.rs
+++ b/stoatjunction_core/tests/entry_stream_versions.rs
@@ -159,7 +159,7 @@
     list(&mut pool, &["v2"], ms(1));
 
     assert_ne!(pool.upstreams().next().map(|(key, _)| key), former);
-    assert!(!pool.serves_version(version("v1")));
+    assert!(!pool.serves_version(version("v1"), ms(1)));
 }
 
 #[test]
@@ -231,9 +231,10 @@
 
     pool.set_list_doubt(doubt_until(ms(now)));
 
-    let is_sure = pool.runs_surely_at(UpstreamKey(0), "u0", version("v1"));
-    assert_eq!(is_sure, !is_in_doubt);
-    assert!(pool.runs_surely_at(UpstreamKey(1), "u1", version("v1")));
+    let is_sure =
+        |n: u32| pool.runs_surely_at(UpstreamKey(n), &format!("u{n}"), version("v1"), ms(now));
+    assert_eq!(is_sure(0), !is_in_doubt);
+    assert!(is_sure(1));
 }
 
 #[parameterized(
@@ -254,10 +255,24 @@
 
     pool.set_upstreams([listed(0, "v1")].iter().chain(&rest), ms(1));
 
-    assert_eq!(
-        pool.runs_surely_at(UpstreamKey(1), "u1", version("v1")),
-        is_sure
-    );
+    let surely = pool.runs_surely_at(UpstreamKey(1), "u1", version("v1"), ms(1));
+    assert_eq!(surely, is_sure);
+}
+
+#[parameterized(
+    right_after_it_was_down = { 100, false },
+    long_after = { 8_000, true },
+)]
+fn an_upstream_that_was_down_may_be_another_version_until_its_entry_would_say_so(
+    later: u64,
+    is_sure: bool,
+) {
+    let mut pool = pool_of(&["v1"]);
+    pool.record_outcome(UpstreamKey(0), RunOutcome::Unreachable, START);
+
+    let surely = pool.runs_surely_at(UpstreamKey(0), "u0", version("v1"), ms(later));
+
+    assert_eq!(surely, is_sure);
 }
 
 /// Shares of requests that were placed: of streams that are taken up, and of new ones.
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -9,6 +9,7 @@
 use stoatjunction_core::entry::pool::{Load, Upstream, WaitingCounts};
 use stoatjunction_core::entry::rate_limiter::{Reporter, UsageReport};
 use stoatjunction_core::entry::stream_origins::Place;
+use stoatjunction_core::time::{Span, Time};
 
 use crate::catch_up;
 use crate::clock;
@@ -24,6 +25,9 @@
 /// Maximum upstreams whose slowdown is reported in one heartbeat.
 const MAX_SLOWDOWNS: usize = 40;
 
+/// Maximum upstreams that one heartbeat reports as down.
+const MAX_DOWN: usize = 32;
+
 /// A host's report on itself. Encoded by position: the order of the fields is part of the protocol.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Heartbeat {
@@ -47,6 +51,8 @@
     pub(crate) details: Option<HeartbeatDetails>,
     /// Streams that began at this host lately.
     pub(crate) begun_streams: BegunStreams,
+    /// Upstreams that were down lately, by number, with the milliseconds since then.
+    pub(crate) down: Vec<(u64, u64)>,
 }
 
 /// Version of a host's configuration and list of upstreams.
@@ -149,6 +155,24 @@
         prompt_parts: std::mem::take(&mut state.pending_updates.prompt_parts),
         details,
         begun_streams: stream_origins::take_pending(state),
+        down: lately_down(state, now),
+    }
+}
+
+fn lately_down(state: &SharedState, now: Time) -> Vec<(u64, u64)> {
+    let pools = state.schedulers.values().map(|s| &s.pool);
+    let down = pools.flat_map(|p| p.lately_down(now));
+    let down = down.take(MAX_DOWN);
+    down.map(|(number, age)| (number, age.as_millis()))
+        .collect()
+}
+
+fn record_down(state: &mut SharedState, down: &[(u64, u64)], now: Time) {
+    for scheduler in state.schedulers.values_mut() {
+        for (number, age) in down {
+            let at = now.saturating_sub(Span::from_millis(*age));
+            scheduler.pool.record_down(*number, at);
+        }
     }
 }
 
@@ -206,6 +230,7 @@
     record_loads(state, heartbeat.boot, &heartbeat.loads);
     record_prompt_parts(state, &heartbeat.prompt_parts);
     stream_origins::receive_begun(state, &heartbeat.begun_streams, Place::Here);
+    record_down(state, &heartbeat.down, now);
     let mut peer = Peer {
         boot: heartbeat.boot,
         last_seen: now,
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -231,7 +231,7 @@
         let target = self.target.as_ref()?;
         let state = self.cx.state.borrow();
         let pool = &state.schedulers.get(&self.service)?.pool;
-        let is_sure = pool.runs_surely_at(self.key, &target.id, target.version);
+        let is_sure = pool.runs_surely_at(self.key, &target.id, target.version, clock::now());
         is_sure.then_some(target.version)
     }
 
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -30,6 +30,7 @@
 use crate::attempt::UpstreamRequest;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
+use crate::followers;
 use crate::header_names::HeaderNames;
 use crate::heartbeat::UpstreamLoad;
 use crate::metrics::EntryMetrics;
@@ -416,13 +417,13 @@
         rate_limiter::reachable_hosts(now.since(self.started), reachable, self.peers.len() + 1)
     }
 
-    /// Returns whether the list of upstreams is up to date: the store answers this host, or one that follows it, or
-    /// nobody asks it in vain.
+    /// Returns whether the list of upstreams is up to date: the store answers this host on every topic, or one that
+    /// follows it, or nobody asks it in vain.
     pub(crate) fn is_list_current(&self, now: Time) -> bool {
-        let [_, answered_at] = self.store_answered_at;
+        let is_answered = followers::follows(self);
         let mut reachable = self.peers.values().filter(|p| !self.is_unreachable(p, now));
         let failed_lately = |at: Time| now.since(at) < MAX_STORE_PAUSE;
-        answered_at.is_some()
+        is_answered
             || reachable.any(|p| p.follows)
             || !self.store_failed_at.is_some_and(failed_lately)
     }
--- a/stoatjunction_entry/src/stream_origins.rs
+++ b/stoatjunction_entry/src/stream_origins.rs
@@ -18,6 +18,7 @@
 
 use crate::attempt::UpstreamRequest;
 use crate::clock;
+use crate::followers;
 use crate::gossip;
 use crate::refusal::Refusal;
 use crate::relay;
@@ -252,7 +253,7 @@
     let state = cx.state.borrow();
     let serves = |service: &str| {
         let scheduler = state.schedulers.get(service);
-        scheduler.is_some_and(|s| s.pool.serves_version(version))
+        scheduler.is_some_and(|s| s.pool.serves_version(version, clock::now()))
     };
     let mut services = route.targets.iter().map(|(service, _)| service.as_str());
     services.find(|s| serves(s))
@@ -265,12 +266,11 @@
 
 fn own_knowledge(cx: &Context, taken_up: &TakenUp<'_>) -> StreamKnowledge {
     let state = cx.state.borrow();
-    let [_, store_answered_at] = state.store_answered_at;
     let version = taken_up.stream;
     StreamKnowledge {
         version: version.and_then(|s| state.stream_origins.version_of(s)),
         candidates: candidates(&state, &taken_up.services, clock::now()),
-        is_current: store_answered_at.is_some(),
+        is_current: followers::follows(&state),
         may_ask: !hosts_to_ask(&state).is_empty(),
     }
 }
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -140,6 +140,8 @@
     arrivals: Vec<Instant>,
     poison: Option<Poison>,
     crashes: Vec<Crash>,
+    /// Version of its software that the events of its streams name.
+    version: Option<String>,
 }
 
 /// A running scripted upstream.
@@ -247,6 +249,11 @@
         self.say("Server-Limit", limit);
     }
 
+    /// Names this version of its software in the events of its streams from now on.
+    pub fn set_version(&self, version: &str) {
+        self.lock().version = Some(version.to_owned());
+    }
+
     /// Sends the header in all responses from now on, or no longer.
     pub fn say(&self, header: &str, value: Option<&str>) {
         let statements = &mut self.lock().statements;
@@ -456,7 +463,10 @@
             .header("last-event-id")
             .map_or(0, |v| v.parse().unwrap_or(0));
         for event in last_received + 1..=last {
-            write_chunk(stream, &format!("id: {event}\ndata: piece {event}\n\n")).await?;
+            let version = self.lock().version.clone();
+            let version = version.map_or_else(String::new, |v| format!(" of {v}"));
+            let text = format!("id: {event}\ndata: piece {event}{version}\n\n");
+            write_chunk(stream, &text).await?;
             tokio::time::sleep(gap).await;
         }
         match end {
