Let upstreams that were down count as unsure only beside other versions, and not by a host that is cut off

Now a refused connection counts, not a time-out; only while the service has, or lately had, several versions; and not if half of the upstreams are down for the host, which then reports none.

--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -238,37 +238,50 @@
 
     fn is_surely(&self, upstream: &Upstream, version: SoftwareVersion, now: Time) -> bool {
         let broke_at = upstream.broke_at;
-        let may_differ = broke_at.is_some_and(|at| self.list_doubt.may_have_restarted(at));
-        upstream.version == version && !may_differ && !upstream.was_down_lately(now)
+        let may_differ = broke_at.is_some_and(|at| self.list_doubt.may_have_restarted(at))
+            || (upstream.was_down_lately(now) && self.may_have_restarted_as_another(now));
+        upstream.version == version && !may_differ
     }
 
-    /// Sets whether the list of upstreams may be old.
-    pub fn set_list_doubt(&mut self, list_doubt: ListDoubt) {
-        self.list_doubt = list_doubt;
+    /// Returns whether an upstream that was down may be back as another version: there are others, and this host, for
+    /// which most upstreams are not down, is not the one that was cut off.
+    fn may_have_restarted_as_another(&self, now: Time) -> bool {
+        let down = self
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.was_down_lately(now));
+        2 * down.count() < self.by_id.len() && self.recent_versions(now).len() > 1
+    }
+
+    /// Returns the numbers of upstreams that were down lately, and how long ago, for other hosts: these may have
+    /// started since and may not have tried them.
+    pub fn lately_down(&self, now: Time) -> Vec<(u64, Span)> {
+        let down = self.upstreams.iter().filter_map(|(_, u)| u.down_for(now));
+        let down: Vec<(u64, Span)> = down.collect();
+        match down.is_empty() || self.may_have_restarted_as_another(now) {
+            true => down,
+            false => Vec::new(),
+        }
     }
 
-    /// Records that a run at the upstream with this number broke off, at any host.
-    pub fn record_break(&mut self, number: u64, now: Time) {
+    /// Records that the upstream with this number refused a connection, of this host or of another one.
+    pub fn record_down(&mut self, number: u64, at: Time) {
         let key = self.by_number.get(&number);
         if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
-            upstream.broke_at = Some(now);
+            upstream.down_at = upstream.down_at.max(Some(at));
         }
     }
 
-    /// Iterates over the numbers of the upstreams that were down lately, at this host or at others, and how long ago.
-    pub fn lately_down(&self, now: Time) -> impl Iterator<Item = (u64, Span)> {
-        let down = self
-            .upstreams
-            .iter()
-            .filter(move |(_, u)| u.was_down_lately(now));
-        down.filter_map(move |(_, u)| Some((u.number, now.since(u.down_at?))))
+    /// Sets whether the list of upstreams may be old.
+    pub fn set_list_doubt(&mut self, list_doubt: ListDoubt) {
+        self.list_doubt = list_doubt;
     }
 
-    /// Records that the upstream with this number accepted no connection from another host.
-    pub fn record_down(&mut self, number: u64, at: Time) {
+    /// Records that a run at the upstream with this number broke off, at any host.
+    pub fn record_break(&mut self, number: u64, now: Time) {
         let key = self.by_number.get(&number);
         if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
-            upstream.down_at = upstream.down_at.max(Some(at));
+            upstream.broke_at = Some(now);
         }
     }
 
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -48,7 +48,7 @@
     pub(super) last_byte_at: Time,
     /// Time at which a run broke off, or a connection failed, at any host.
     pub(super) broke_at: Option<Time>,
-    /// Time at which it last accepted no connection from a host.
+    /// Time at which it last refused a connection.
     pub(super) down_at: Option<Time>,
     pub(super) cold_until: Time,
     pub(super) health: Health,
@@ -138,14 +138,17 @@
         if matches!(outcome, RunOutcome::Broken | RunOutcome::Unreachable) {
             self.broke_at = Some(now);
         }
-        if outcome == RunOutcome::Unreachable {
-            self.down_at = Some(now);
-        }
     }
 
     /// Returns whether it was down so lately that it may have started again without an entry that says so.
     pub(super) fn was_down_lately(&self, now: Time) -> bool {
-        self.down_at.is_some_and(|at| now.since(at) < RESTART_TIME)
+        self.down_for(now).is_some()
+    }
+
+    /// Returns the number of an upstream that was down lately, and how long ago.
+    pub(super) fn down_for(&self, now: Time) -> Option<(u64, Span)> {
+        let age = now.since(self.down_at?);
+        (age < RESTART_TIME).then_some((self.number, age))
     }
 
     /// Records that the upstream turned out to be full although slots seemed free.
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to an upstream, up to the head of the response.
 
+use std::io;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -135,6 +136,9 @@
                 target.id
             );
             placement.record_outcome(RunOutcome::Unreachable);
+            if e.kind() == io::ErrorKind::ConnectionRefused {
+                placement.record_down();
+            }
             AttemptError::NotSent
         })?,
     };
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -26,7 +26,7 @@
 const MAX_SLOWDOWNS: usize = 40;
 
 /// Maximum upstreams that one heartbeat reports as down.
-const MAX_DOWN: usize = 32;
+const MAX_DOWN: usize = 16;
 
 /// A host's report on itself. Encoded by position: the order of the fields is part of the protocol.
 #[derive(Debug, Serialize, Deserialize)]
@@ -159,10 +159,10 @@
     }
 }
 
+/// Returns the upstreams that were down lately, with the milliseconds since then.
 fn lately_down(state: &SharedState, now: Time) -> Vec<(u64, u64)> {
     let pools = state.schedulers.values().map(|s| &s.pool);
-    let down = pools.flat_map(|p| p.lately_down(now));
-    let down = down.take(MAX_DOWN);
+    let down = pools.flat_map(|p| p.lately_down(now)).take(MAX_DOWN);
     down.map(|(number, age)| (number, age.as_millis()))
         .collect()
 }
