--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod placement_request;
 
 pub mod pool;
+mod pool_versions;
 pub mod prompt_cache;
 pub mod propagation;
 pub mod queue;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -98,8 +98,8 @@
     pub(super) slot_sharers: u32,
     pub(super) limits: UpstreamLimits,
     pub(super) notices: UpstreamNotices,
-    former_versions: FormerVersions,
-    list_doubt: ListDoubt,
+    pub(super) former_versions: FormerVersions,
+    pub(super) list_doubt: ListDoubt,
 }
 
 /// Numbers of waiting requests by precedence.
@@ -203,88 +203,6 @@
         self.upstreams.iter()
     }
 
-    /// Returns the versions that may have begun streams that callers take up: those of listed upstreams, and
-    /// those that were listed lately.
-    pub fn recent_versions(&self, now: Time) -> Vec<SoftwareVersion> {
-        let listed = self.upstreams.iter().map(|(_, u)| u.version);
-        let mut versions: Vec<SoftwareVersion> =
-            listed.chain(self.former_versions.recent(now)).collect();
-        versions.sort_unstable();
-        versions.dedup();
-        versions
-    }
-
-    /// Returns whether any upstream that surely is of this version takes requests, now or later.
-    pub fn serves_version(&self, version: SoftwareVersion, now: Time) -> bool {
-        let mut upstreams = self.upstreams.iter();
-        upstreams.any(|(_, u)| self.is_surely(u, version, now) && !self.is_leaving(u))
-    }
-
-    /// Returns whether a run that was placed on the upstream `key`, named `id` and listed as of `version`, surely runs
-    /// at that version. It does not if the upstream may have started again as another one before.
-    pub fn runs_surely_at(
-        &self,
-        key: UpstreamKey,
-        id: &str,
-        version: SoftwareVersion,
-        now: Time,
-    ) -> bool {
-        if let Some(upstream) = self.upstreams.get(key) {
-            return self.is_surely(upstream, version, now);
-        }
-        let successor = self.by_id.get(id).and_then(|key| self.upstreams.get(*key));
-        successor.is_none_or(|u| u.version == version)
-    }
-
-    fn is_surely(&self, upstream: &Upstream, version: SoftwareVersion, now: Time) -> bool {
-        let broke_at = upstream.broke_at;
-        let may_differ = broke_at.is_some_and(|at| self.list_doubt.may_have_restarted(at))
-            || (upstream.was_down_lately(now) && self.may_have_restarted_as_another(now));
-        upstream.version == version && !may_differ
-    }
-
-    /// Returns whether an upstream that was down may be back as another version: there are others, and this host, for
-    /// which most upstreams are not down, is not the one that was cut off.
-    fn may_have_restarted_as_another(&self, now: Time) -> bool {
-        let down = self
-            .upstreams
-            .iter()
-            .filter(|(_, u)| u.was_down_lately(now));
-        2 * down.count() < self.by_id.len() && self.recent_versions(now).len() > 1
-    }
-
-    /// Returns the numbers of upstreams that were down lately, and how long ago, for other hosts: these may have
-    /// started since and may not have tried them.
-    pub fn lately_down(&self, now: Time) -> Vec<(u64, Span)> {
-        let down = self.upstreams.iter().filter_map(|(_, u)| u.down_for(now));
-        let down: Vec<(u64, Span)> = down.collect();
-        match down.is_empty() || self.may_have_restarted_as_another(now) {
-            true => down,
-            false => Vec::new(),
-        }
-    }
-
-    /// Records that the upstream with this number refused a connection, of this host or of another one.
-    pub fn record_down(&mut self, number: u64, at: Time) {
-        let key = self.by_number.get(&number);
-        if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
-            upstream.down_at = upstream.down_at.max(Some(at));
-        }
-    }
-
-    /// Sets whether the list of upstreams may be old.
-    pub fn set_list_doubt(&mut self, list_doubt: ListDoubt) {
-        self.list_doubt = list_doubt;
-    }
-
-    /// Records that a run at the upstream with this number broke off, at any host.
-    pub fn record_break(&mut self, number: u64, now: Time) {
-        let key = self.by_number.get(&number);
-        if let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) {
-            upstream.broke_at = Some(now);
-        }
-    }
-
     /// Returns the free slots of all usable upstreams.
     pub fn free_slots(&self, now: Time) -> u32 {
         self.usable(now)
--- a/stoatjunction_dispatcher/src/daemon.rs
+++ b/stoatjunction_dispatcher/src/daemon.rs
@@ -12,7 +12,7 @@
 use stoatjunction_core::time::Span;
 use stoatjunction_net::admin::{self, Admin};
 use stoatjunction_net::bundle::{BundleStore, Protocol};
-use stoatjunction_net::message::{News, Notice, Request};
+use stoatjunction_net::message::{GossipUpdate, Notice, Request};
 use stoatjunction_net::platform::{HostListClient, ObjectApiClient};
 use stoatjunction_net::prelude::*;
 use stoatjunction_net::settings::DaemonSettings;
@@ -172,7 +172,7 @@
         bundle: None,
         signed_bundle: None,
         peer_bundle_numbers: HashMap::new(),
-        pending_updates: News::default(),
+        pending_updates: GossipUpdate::default(),
     }
 }
 
@@ -304,7 +304,7 @@
             Event::PeerConnected { member, tx } => {
                 state.timeline.record("peer_up", &[("peer", &member.host)]);
                 tx.send(Request::Digest(state.digest()));
-                tx.send(Request::News(Box::new(state.full_update())));
+                tx.send(Request::GossipUpdate(Box::new(state.full_update())));
                 let host = member.host.clone();
                 state.record_contact(&member);
                 state.outgoing_peers.insert(host, tx);
@@ -365,9 +365,9 @@
         state.update_summaries();
         state.record_gauges();
         if round.is_multiple_of(FULL_SYNC_ROUNDS) {
-            let news = state.full_update();
+            let update = state.full_update();
             for tx in state.outgoing_peers.values() {
-                tx.send(Request::News(Box::new(news.clone())));
+                tx.send(Request::GossipUpdate(Box::new(update.clone())));
             }
         }
         let wanted = state.polled_upstreams();
--- a/stoatjunction_dispatcher/src/gossip.rs
+++ b/stoatjunction_dispatcher/src/gossip.rs
@@ -4,14 +4,14 @@
 use stoatjunction_core::quarantine::{QuarantineState, Verdict};
 use stoatjunction_core::time::Span;
 use stoatjunction_net::message::{
-    Digest, LeavingSource, LeavingStatus, MemberAge, News, Notice, Request,
+    Digest, GossipUpdate, LeavingSource, LeavingStatus, MemberAge, Notice, Request,
 };
 
 use crate::state::State;
 
 impl State {
     /// Returns the full gossiped state of this dispatcher.
-    pub(crate) fn full_update(&self) -> News {
+    pub(crate) fn full_update(&self) -> GossipUpdate {
         let now = self.now();
         let known = self.members.iter().map(|r| MemberAge {
             member: r.member.clone(),
@@ -21,7 +21,7 @@
             member: self.own_member.clone(),
             age: Span::ZERO,
         };
-        News {
+        GossipUpdate {
             members: std::iter::once(own).chain(known).collect(),
             leaving: self.leaving_statuses.values().cloned().collect(),
             verdicts: self.quarantine.verdicts().collect(),
@@ -29,21 +29,21 @@
         }
     }
 
-    /// Merges received news and queues the changes for forwarding.
-    pub(crate) fn merge_update(&mut self, news: News) {
+    /// Merges a received update and queues the changes for forwarding.
+    pub(crate) fn merge_update(&mut self, update: GossipUpdate) {
         let now = self.now();
-        for reported in news.members {
+        for reported in update.members {
             self.merge_member(reported);
         }
-        for status in news.leaving {
+        for status in update.leaving {
             self.merge_leaving_status(status);
         }
-        for verdict in news.verdicts {
+        for verdict in update.verdicts {
             if self.quarantine.merge(verdict, now) {
                 self.publish_verdict(verdict);
             }
         }
-        for summary in news.shards {
+        for summary in update.shards {
             let is_peer_shard = !self.owned_shards.contains(&summary.shard);
             if is_peer_shard && self.shard_summaries.get(&summary.shard) != Some(&summary) {
                 self.shard_summaries
@@ -148,17 +148,19 @@
         self.pending_updates.verdicts.push(verdict);
     }
 
-    /// Sends the queued news to peers and subscribed gateways.
+    /// Sends the queued update to peers and subscribed gateways.
     pub(crate) fn send_pending_updates(&mut self) {
         if self.pending_updates.is_empty() {
             return;
         }
-        let news = std::mem::take(&mut self.pending_updates);
+        let update = std::mem::take(&mut self.pending_updates);
         for tx in self.outgoing_peers.values() {
-            tx.send(Request::News(Box::new(news.clone())));
+            tx.send(Request::GossipUpdate(Box::new(update.clone())));
         }
         for gateway in self.gateways.values().filter(|g| g.subscribed) {
-            gateway.tx.send(Notice::News(Box::new(news.clone())));
+            gateway
+                .tx
+                .send(Notice::GossipUpdate(Box::new(update.clone())));
         }
     }
 
--- a/stoatjunction_dispatcher/src/requests.rs
+++ b/stoatjunction_dispatcher/src/requests.rs
@@ -49,15 +49,15 @@
                     self.merge_digest(&host, digest);
                 }
             }
-            Request::News(news) => self.merge_update(*news),
+            Request::GossipUpdate(update) => self.merge_update(*update),
         }
     }
 
     pub(crate) fn subscribe(&mut self, link: LinkId) {
-        let news = self.full_update();
+        let update = self.full_update();
         if let Some(gateway) = self.gateways.get_mut(&link) {
             gateway.subscribed = true;
-            gateway.tx.send(Notice::News(Box::new(news)));
+            gateway.tx.send(Notice::GossipUpdate(Box::new(update)));
         }
     }
 
--- a/stoatjunction_dispatcher/src/state.rs
+++ b/stoatjunction_dispatcher/src/state.rs
@@ -12,7 +12,9 @@
 use stoatjunction_core::time::Time;
 use stoatjunction_net::bundle::SignedBundle;
 use stoatjunction_net::link::LinkTx;
-use stoatjunction_net::message::{Digest, LeavingSource, LeavingStatus, News, Notice, Request};
+use stoatjunction_net::message::{
+    Digest, GossipUpdate, LeavingSource, LeavingStatus, Notice, Request,
+};
 use stoatjunction_net::prelude::*;
 use stoatjunction_net::settings::DaemonSettings;
 
@@ -67,7 +69,7 @@
     /// Last reported numbers of the bundles in force on other hosts.
     pub(crate) peer_bundle_numbers: HashMap<String, u64>,
     /// Changes that were not gossiped yet.
-    pub(crate) pending_updates: News,
+    pub(crate) pending_updates: GossipUpdate,
 }
 
 impl State {
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod heartbeat;
 mod ingress;
 mod limit_reports;
+mod list_doubt;
 mod metrics;
 mod notice_reports;
 mod placement;
--- /dev/null
+++ b/stoatjunction_entry/src/list_doubt.rs
@@ -0,0 +1,33 @@
+//! Whether this host's list of upstreams may be old.
+
+use stoatjunction_core::time::{Span, Time};
+
+use crate::followers;
+use crate::state::SharedState;
+
+/// Longest time between two calls of a host that the store does not answer, with a margin.
+const MAX_STORE_PAUSE: Span = Span::from_millis(16_000);
+
+impl SharedState {
+    /// Returns whether the list of upstreams is up to date: the store answers this host on every topic, or one that
+    /// follows it, or nobody asks it in vain.
+    fn is_list_current(&self, now: Time) -> bool {
+        let is_answered = followers::follows(self);
+        let mut reachable = self.peers.values().filter(|p| !self.is_unreachable(p, now));
+        let failed_lately = |at: Time| now.since(at) < MAX_STORE_PAUSE;
+        is_answered
+            || reachable.any(|p| p.follows)
+            || !self.store_failed_at.is_some_and(failed_lately)
+    }
+
+    /// Updates whether the list of upstreams may be old.
+    pub(crate) fn update_list_doubt(&mut self, now: Time) {
+        let is_current = self.is_list_current(now);
+        if self.list_doubt.update(is_current, now) {
+            log::info!("event=list_doubt current={is_current}");
+        }
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.pool.set_list_doubt(self.list_doubt);
+        }
+    }
+}
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -30,7 +30,6 @@
 use crate::attempt::UpstreamRequest;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
-use crate::followers;
 use crate::header_names::HeaderNames;
 use crate::heartbeat::UpstreamLoad;
 use crate::metrics::EntryMetrics;
@@ -369,8 +368,6 @@
 const PEER_TIMEOUT: Span = Span::from_millis(700);
 /// The same for a host that only relays report on.
 const RELAYED_PEER_TIMEOUT: Span = Span::from_millis(1_500);
-/// Longest time between two calls of a host that the store does not answer, with a margin.
-const MAX_STORE_PAUSE: Span = Span::from_millis(16_000);
 /// Number of other hosts above which only relays report to other data centres.
 const MANY_HOSTS: usize = 24;
 
@@ -417,28 +414,6 @@
         rate_limiter::reachable_hosts(now.since(self.started), reachable, self.peers.len() + 1)
     }
 
-    /// Returns whether the list of upstreams is up to date: the store answers this host on every topic, or one that
-    /// follows it, or nobody asks it in vain.
-    pub(crate) fn is_list_current(&self, now: Time) -> bool {
-        let is_answered = followers::follows(self);
-        let mut reachable = self.peers.values().filter(|p| !self.is_unreachable(p, now));
-        let failed_lately = |at: Time| now.since(at) < MAX_STORE_PAUSE;
-        is_answered
-            || reachable.any(|p| p.follows)
-            || !self.store_failed_at.is_some_and(failed_lately)
-    }
-
-    /// Updates whether the list of upstreams may be old.
-    pub(crate) fn update_list_doubt(&mut self, now: Time) {
-        let is_current = self.is_list_current(now);
-        if self.list_doubt.update(is_current, now) {
-            log::info!("event=list_doubt current={is_current}");
-        }
-        for scheduler in self.schedulers.values_mut() {
-            scheduler.pool.set_list_doubt(self.list_doubt);
-        }
-    }
-
     /// Returns whether this host knows others, or has been looking for long enough to be the only one.
     pub(crate) fn has_discovered_hosts(&self, now: Time) -> bool {
         !self.peers.is_empty() || now.since(self.started) >= rate_limiter::DISCOVERY_TIME
--- a/stoatjunction_gateway/src/dispatcher_client/notices.rs
+++ b/stoatjunction_gateway/src/dispatcher_client/notices.rs
@@ -4,7 +4,7 @@
 
 use stoatjunction_core::id::{ShardId, TicketId};
 use stoatjunction_net::bundle::SignedBundle;
-use stoatjunction_net::message::{Digest, News, Notice};
+use stoatjunction_net::message::{Digest, GossipUpdate, Notice};
 use stoatjunction_net::prelude::*;
 
 use super::{DispatcherClient, TicketEvent};
@@ -50,7 +50,7 @@
                 self.send_event(ticket, TicketEvent::Revoked { ticket });
             }
             Notice::Digest(digest) => self.apply_digest(host, digest),
-            Notice::News(news) => self.apply_update(*news),
+            Notice::GossipUpdate(update) => self.apply_update(*update),
             Notice::Bundle(signed) => self.install_bundle(*signed),
         }
     }
@@ -98,15 +98,15 @@
         self.changed.notify_waiters();
     }
 
-    fn apply_update(&self, news: News) {
+    fn apply_update(&self, update: GossipUpdate) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        for reported in news.members {
+        for reported in update.members {
             inner
                 .members
                 .insert(reported.member.host.clone(), reported.member);
         }
-        for status in news.leaving {
+        for status in update.leaving {
             let key = (status.upstream.clone(), status.source);
             if inner
                 .leaving
@@ -116,10 +116,10 @@
                 inner.leaving.insert(key, status);
             }
         }
-        for verdict in news.verdicts {
+        for verdict in update.verdicts {
             inner.quarantine.merge(verdict, now);
         }
-        for summary in news.shards {
+        for summary in update.shards {
             inner.summaries.insert(summary.shard.clone(), summary);
         }
         drop(inner);
--- a/stoatjunction_net/src/message.rs
+++ b/stoatjunction_net/src/message.rs
@@ -169,7 +169,7 @@
 /// State changes that are gossiped to every member as they occur; the full state is sent when a
 /// link opens.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct News {
+pub struct GossipUpdate {
     /// Known members.
     pub members: Vec<MemberAge>,
     /// Leaving states of upstreams.
@@ -180,7 +180,7 @@
     pub shards: Vec<ShardSummary>,
 }
 
-impl News {
+impl GossipUpdate {
     /// Returns true if there are no changes.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
@@ -232,7 +232,7 @@
         /// Running request.
         running: Box<RunningMessage>,
     },
-    /// Asks for digests and news on this link.
+    /// Asks for digests and update on this link.
     Subscribe,
     /// Asks for a bundle.
     FetchBundle {
@@ -243,8 +243,8 @@
     },
     /// Digest of another dispatcher.
     Digest(Digest),
-    /// News from another dispatcher.
-    News(Box<News>),
+    /// State that another dispatcher has learned.
+    GossipUpdate(Box<GossipUpdate>),
 }
 
 /// A message from a dispatcher to the process that opened the link.
@@ -280,8 +280,8 @@
     },
     /// Digest of the sender.
     Digest(Digest),
-    /// News from the sender.
-    News(Box<News>),
+    /// State that the sender has learned.
+    GossipUpdate(Box<GossipUpdate>),
     /// The requested bundle, without the parts that the receiver already has.
     Bundle(Box<SignedBundle>),
 }
