Read no event of an upstream that may be another version, so that none is missing

By the trace: the first upstream's run was cut by us 1 ms after it began, the second served the rest, and the piece between was with nobody.

Change: the version is asked before any event of a segment is read.

Before: a_stream_lacks_no_event_whose_upstream_turns_out_to_be_another_version red (events 5 to 9 in place of 4 to 9). After: green, with all of stream_versions.rs, requests.rs and endless.rs.

--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -199,6 +199,9 @@
                 None | Some(Err(_)) => return SegmentEnd::Broken,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            if !has_events && !self.may_forward(placement) {
+                return SegmentEnd::Broken;
+            }
             let received = self.event_filter.received();
             let Ok(events) = self.event_filter.push_bytes(&data) else {
                 return SegmentEnd::Broken;
@@ -209,8 +212,8 @@
             if events.is_empty() {
                 continue;
             }
-            if !std::mem::replace(&mut has_events, true) && !self.bind_version(placement) {
-                return SegmentEnd::Broken;
+            if !std::mem::replace(&mut has_events, true) {
+                self.bind_version(placement);
             }
             if self.tx.send(Ok(events)).await.is_err() {
                 return SegmentEnd::CallerGone;
@@ -218,21 +221,22 @@
         }
     }
 
-    /// Binds the stream to the version of the upstream that sends its first event, and returns whether events of this
-    /// upstream may be forwarded.
-    fn bind_version(&mut self, placement: &Placement) -> bool {
+    /// Returns whether events of the upstream may be forwarded: not if the stream is bound to another version than it
+    /// surely has. Asked before any of them is read, since what was read counts as forwarded.
+    fn may_forward(&self, placement: &Placement) -> bool {
+        let bound = self.placement_request.version;
+        bound.is_none() || bound == placement.version()
+    }
+
+    /// Binds the stream to the version of the upstream that sends its first event.
+    fn bind_version(&mut self, placement: &Placement) {
         if self.kind != RouteKind::Resumable {
-            return true;
-        }
-        let version = placement.version();
-        if self.placement_request.version.is_some() && self.placement_request.version != version {
-            return false;
+            return;
         }
         // A stream of an unsure version goes on nowhere else.
-        let version = version.unwrap_or_default();
-        self.placement_request.version = Some(version);
+        let version = placement.version().unwrap_or_default();
+        let version = *self.placement_request.version.get_or_insert(version);
         stream_origins::record_begun(&self.cx, &self.request, version);
-        true
     }
 
     fn event_timeout(&self) -> Span {
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -51,6 +51,8 @@
     },
     /// Streams events up to this id with this time between them.
     SlowStream(u64, Duration),
+    /// A stream up to this event that begins after a time.
+    LateStream(u64, Duration),
     /// Streams events up to this id, then these bytes again and again, one at a time, until the peer closes
     /// the connection.
     Trickle(u64, &'static str),
@@ -418,6 +420,10 @@
             Reply::Stream(last) => return self.stream(stream, req, last, End::Complete).await,
             Reply::Cut(last) => return self.stream(stream, req, last, End::Cut).await,
             Reply::Stall(last) => return self.stream(stream, req, last, End::Stall).await,
+            Reply::LateStream(last, delay) => {
+                tokio::time::sleep(delay).await;
+                return self.stream(stream, req, last, End::Complete).await;
+            }
             Reply::SlowStream(last, gap) => {
                 let end = End::Complete;
                 return self.stream_events(stream, req, last, gap, end).await;
