--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,10 +7,12 @@
 mod fleet;
 mod freeze;
 mod http;
+mod idle_channels;
 mod record;
 mod restart;
 mod server;
 mod setup;
+mod stale_seeds;
 mod store;
 mod unreadable_entry;
 
@@ -38,6 +40,8 @@
         "unreadable-entry" => unreadable_entry::run(&record, has_trouble),
         "unreadable-entry-and-restart" => restart::run(&record, has_trouble),
         "dark-worker" => dark::run(&record, has_trouble),
+        "idle-channels" => idle_channels::run(&record, has_trouble),
+        "stale-seeds" => stale_seeds::run(&record, has_trouble),
         "freeze" => freeze::run(&record, has_trouble),
         other => Err(format!("there is no case {other}")),
     };
