--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod endless;
 pub mod engine;
 pub mod host_list;
+pub mod link;
 pub mod metadata_store;
 pub mod object_api;
 pub mod plain;
--- /dev/null
+++ b/stoatjunction_standin/src/link.rs
@@ -0,0 +1,175 @@
+//! Stand-in for the network link between one host and a server, which may be cut in different ways.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Time within which a connection to a listener on loopback is open, unless its backlog is full.
+const OPENING_TIME: Duration = Duration::from_millis(200);
+/// Interval between tries to listen on an address again.
+const LISTEN_INTERVAL: Duration = Duration::from_millis(10);
+
+/// How a link is cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Nothing arrives, and new connections are not answered.
+    Silent,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    RefuseNew,
+}
+
+/// A running link.
+#[derive(Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    cut: watch::Sender<Option<Cut>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Link {
+    /// Starts a link to the server at `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an I/O error if no address can be bound.
+    pub async fn start(target: SocketAddr) -> io::Result<Link> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let cut = watch::Sender::new(None);
+        let task = tokio::spawn(run(listener, addr, target, cut.subscribe()));
+        Ok(Link { addr, cut, task })
+    }
+
+    /// Returns the address that stands for the server's.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Cuts the link.
+    pub fn cut(&self, cut: Cut) {
+        self.cut.send_replace(Some(cut));
+    }
+
+    /// Ends the cut.
+    pub fn heal(&self) {
+        self.cut.send_replace(None);
+    }
+}
+
+async fn run(
+    listener: TcpListener,
+    addr: SocketAddr,
+    target: SocketAddr,
+    mut cut: watch::Receiver<Option<Cut>>,
+) {
+    let mut connections = JoinSet::new();
+    let mut listener = Some(listener);
+    loop {
+        let now = *cut.borrow_and_update();
+        match (now, listener.take()) {
+            (None, Some(open)) => {
+                accept(&open, target, &mut cut, &mut connections).await;
+                listener = Some(open);
+            }
+            (None, None) => listener = Some(listen_again(addr).await),
+            (Some(Cut::Silent), open) => {
+                drop(open);
+                let _full = full_listener(addr).await;
+                let _sender_is_held = cut.changed().await;
+            }
+            (Some(Cut::Reset | Cut::RefuseNew), open) => {
+                drop(open);
+                let _sender_is_held = cut.changed().await;
+            }
+        }
+    }
+}
+
+/// Accepts connections until the link is cut.
+async fn accept(
+    listener: &TcpListener,
+    target: SocketAddr,
+    cut: &mut watch::Receiver<Option<Cut>>,
+    connections: &mut JoinSet<()>,
+) {
+    loop {
+        tokio::select! {
+            _ = cut.changed() => return,
+            accepted = listener.accept() => {
+                if let Ok((client, _)) = accepted {
+                    connections.spawn(forward(client, target, cut.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn listen_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        match listen(addr, BACKLOG) {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(LISTEN_INTERVAL).await,
+        }
+    }
+}
+
+fn listen(addr: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(backlog)
+}
+
+/// Returns a listener whose backlog is full, so that new connections hang as in a network partition. The streams keep
+/// it full.
+async fn full_listener(addr: SocketAddr) -> (Option<TcpListener>, Vec<TcpStream>) {
+    let mut streams = Vec::new();
+    let Ok(listener) = listen(addr, 1) else {
+        return (None, streams);
+    };
+    while let Ok(Ok(stream)) = tokio::time::timeout(OPENING_TIME, TcpStream::connect(addr)).await {
+        streams.push(stream);
+    }
+    (Some(listener), streams)
+}
+
+async fn forward(mut client: TcpStream, target: SocketAddr, mut cut: watch::Receiver<Option<Cut>>) {
+    let Ok(mut server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    loop {
+        let copies = io::copy_bidirectional(&mut client, &mut server);
+        tokio::select! {
+            _ = copies => return,
+            changed = cut.wait_for(|c| matches!(c, Some(Cut::Silent | Cut::Reset))) => {
+                let Ok(cut) = changed.map(|c| *c) else { return };
+                if cut == Some(Cut::Reset) {
+                    let _ = SockRef::from(&client).set_linger(Some(Duration::ZERO));
+                    let _ = SockRef::from(&server).set_linger(Some(Duration::ZERO));
+                    return;
+                }
+            }
+        }
+        // What was read and not yet written is lost, which a silent cut also does to connections that are given up.
+        if cut.wait_for(Option::is_none).await.is_err() {
+            return;
+        }
+    }
+}
