--- a/stoatjunction_standin/src/link.rs
+++ b/stoatjunction_standin/src/link.rs
@@ -1,6 +1,8 @@
 //! Stand-in for the network link between one host and a server, which may be cut in different ways.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -31,6 +33,7 @@
 #[derive(Debug)]
 pub struct Link {
     addr: SocketAddr,
+    accepted: Arc<AtomicUsize>,
     cut: watch::Sender<Option<Cut>>,
     task: JoinHandle<()>,
 }
@@ -51,8 +54,19 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let cut = watch::Sender::new(None);
-        let task = tokio::spawn(run(listener, addr, target, cut.subscribe()));
-        Ok(Link { addr, cut, task })
+        let ends = Ends {
+            addr,
+            target,
+            accepted: Arc::default(),
+        };
+        let accepted = ends.accepted.clone();
+        let task = tokio::spawn(run(listener, ends, cut.subscribe()));
+        Ok(Link {
+            addr,
+            accepted,
+            cut,
+            task,
+        })
     }
 
     /// Returns the address that stands for the server's.
@@ -60,6 +74,11 @@
         self.addr
     }
 
+    /// Returns the number of connections that were opened over the link.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
     /// Cuts the link.
     pub fn cut(&self, cut: Cut) {
         self.cut.send_replace(Some(cut));
@@ -71,25 +90,27 @@
     }
 }
 
-async fn run(
-    listener: TcpListener,
+/// The two ends of a link.
+struct Ends {
     addr: SocketAddr,
     target: SocketAddr,
-    mut cut: watch::Receiver<Option<Cut>>,
-) {
+    accepted: Arc<AtomicUsize>,
+}
+
+async fn run(listener: TcpListener, ends: Ends, mut cut: watch::Receiver<Option<Cut>>) {
     let mut connections = JoinSet::new();
     let mut listener = Some(listener);
     loop {
         let now = *cut.borrow_and_update();
         match (now, listener.take()) {
             (None, Some(open)) => {
-                accept(&open, target, &mut cut, &mut connections).await;
+                accept(&open, &ends, &mut cut, &mut connections).await;
                 listener = Some(open);
             }
-            (None, None) => listener = Some(listen_again(addr).await),
+            (None, None) => listener = Some(listen_again(ends.addr).await),
             (Some(Cut::Silent), open) => {
                 drop(open);
-                let _full = full_listener(addr).await;
+                let _full = full_listener(ends.addr).await;
                 let _sender_is_held = cut.changed().await;
             }
             (Some(Cut::Reset | Cut::RefuseNew), open) => {
@@ -103,7 +124,7 @@
 /// Accepts connections until the link is cut.
 async fn accept(
     listener: &TcpListener,
-    target: SocketAddr,
+    ends: &Ends,
     cut: &mut watch::Receiver<Option<Cut>>,
     connections: &mut JoinSet<()>,
 ) {
@@ -112,7 +133,8 @@
             _ = cut.changed() => return,
             accepted = listener.accept() => {
                 if let Ok((client, _)) = accepted {
-                    connections.spawn(forward(client, target, cut.clone()));
+                    ends.accepted.fetch_add(1, Ordering::Relaxed);
+                    connections.spawn(forward(client, ends.target, cut.clone()));
                 }
             }
             Some(_) = connections.join_next() => {}
