Reach upstreams through other hosts while this one is cut off from them

Cause: a host's own links were the only way to an upstream. It took what it met for the end of the upstreams, told the other hosts of crashes that were none, and gave up after four upstreams.

Change: two upstreams in a row that take no connection and the host takes itself to be cut off from the service; until a connection of its own opens again, connections to upstreams are opened through another host that reaches them, each an exchange of HTTP/2 of its own. Placement, limits, deadlines and attempts stay where the request came in. The check of silent upstreams and the question for their start go the same way. Ruled out: saying that the host is not ready, since balancers use such hosts when most of a data centre is.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -37,6 +37,7 @@
 pub mod query_limit;
 pub mod queue;
 pub mod rate_limiter;
+pub mod reachability;
 pub mod report_pacing;
 pub mod report_receivers;
 pub mod retry_budget;
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -11,13 +11,13 @@
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::crash::Cause;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::pool::Upstream;
 use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::start_reports::StartReport;
-use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
 
 use crate::clock;
-use crate::connection_pool::{self, Connection};
+use crate::connection_pool::Connection;
 use crate::crash;
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
@@ -25,6 +25,7 @@
 use crate::start_reports;
 use crate::state::Context;
 use crate::statements;
+use crate::upstream_connections;
 
 /// Request as it is sent to upstreams, the same at every attempt.
 #[derive(Clone, Debug)]
@@ -51,6 +52,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamTarget {
     pub(crate) id: String,
+    /// Number that identifies it in messages between hosts.
+    pub(crate) number: u64,
+    pub(crate) service: String,
     pub(crate) addr: String,
     /// Version of its software.
     pub(crate) version: SoftwareVersion,
@@ -60,9 +64,12 @@
 
 impl UpstreamTarget {
     /// Returns the target of attempts at a listed upstream.
-    pub(crate) fn new(listed: &ListedUpstream) -> UpstreamTarget {
+    pub(crate) fn new(upstream: &Upstream) -> UpstreamTarget {
+        let listed = &upstream.listed;
         UpstreamTarget {
             id: listed.id.clone(),
+            number: upstream.number,
+            service: listed.service.clone(),
             addr: listed.addr.clone(),
             version: SoftwareVersion::new(&listed.service, &listed.version),
             version_name: listed.version.clone(),
@@ -147,7 +154,7 @@
     let source = if is_kept { "kept" } else { "opened" };
     let mut connection = match idle {
         Some(idle) => idle,
-        None => connection_pool::open(&target.addr).await.map_err(|e| {
+        None => upstream_connections::open(cx, target).await.map_err(|e| {
             log::info!(
                 "event=unreachable request={} upstream={} reason=\"{e}\"",
                 request.id_for_log(),
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -10,15 +10,17 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use stoatjunction_core::time::{Span, Time};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
 use crate::clock;
 use crate::read_limit::{LimitedConnection, ReadCounter};
 use crate::sockets;
+use crate::tunnel_stream::TunnelStream;
 
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
 /// has a full accept queue or is gone.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Idle timeout when the upstream states none, and the longest one used.
 const DEFAULT_IDLE_TIMEOUT: Span = Span::from_millis(3_000);
 /// Margin before the upstream's own idle timeout after which a connection is no longer reused.
@@ -30,6 +32,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Bytes read without progress.
     pub(crate) counter: ReadCounter,
+    /// True if it leads through another host, which must not be held up by idle connections when it stops.
+    pub(crate) is_tunnelled: bool,
     task: AbortHandle,
 }
 
@@ -107,6 +111,18 @@
 /// Opens a connection to `addr`. When it fails, nothing of a request has been sent.
 pub(crate) async fn open(addr: &str) -> io::Result<Connection> {
     let stream = sockets::connect(addr, CONNECT_TIMEOUT).await?;
+    handshake(stream, false).await
+}
+
+/// Opens a connection on a stream to an upstream through another host.
+pub(crate) async fn open_on(stream: TunnelStream) -> io::Result<Connection> {
+    handshake(stream, true).await
+}
+
+async fn handshake<T>(stream: T, is_tunnelled: bool) -> io::Result<Connection>
+where
+    T: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let counter = ReadCounter::default();
     let stream = LimitedConnection::new(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
@@ -120,6 +136,7 @@
     Ok(Connection {
         sender,
         counter,
+        is_tunnelled,
         task: task.abort_handle(),
     })
 }
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -7,8 +7,8 @@
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
-use crate::connection_pool;
 use crate::state::Context;
+use crate::upstream_connections;
 
 /// Number of heartbeats that report a crash.
 const CRASH_REPORT_COUNT: u8 = 3;
@@ -89,8 +89,8 @@
 
 /// Records a crash if the upstream, which has fallen silent, accepts no connection either. One that
 /// does is slow or hangs, which says nothing about the request.
-pub(crate) async fn check_upstream(cx: &Context, sent: &SentRequest, target: &UpstreamTarget) {
-    if connection_pool::open(&target.addr).await.is_err() {
+pub(crate) async fn check_upstream(cx: &Rc<Context>, sent: &SentRequest, target: &UpstreamTarget) {
+    if upstream_connections::open(cx, target).await.is_err() {
         record(cx, sent, target, "silent");
     }
 }
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::sockets;
 use crate::state::{Context, Phase};
 use crate::store_watch::{self, Store, Topic};
+use crate::tunnel_server;
 
 /// Time after SIGTERM in which new connections are still accepted: the load balancer needs two
 /// health checks, a second apart, to notice.
@@ -84,6 +85,10 @@
     let snapshot_listener = sockets::listen(snapshot_addr)
         .into_diagnostic()
         .wrap_err("cannot listen for other hosts")?;
+    let tunnel_addr = std::net::SocketAddr::new(settings.ip, settings.tunnel_port);
+    let tunnel_listener = sockets::listen(tunnel_addr)
+        .into_diagnostic()
+        .wrap_err("cannot listen for hosts that are cut off")?;
     let metrics_listener = sockets::listen(settings.metrics)
         .into_diagnostic()
         .wrap_err("cannot listen for readers of the metrics")?;
@@ -98,6 +103,7 @@
     spawn(Box::pin(ingress::serve_readiness(cx.clone(), ready)));
     spawn(Box::pin(metrics::serve(cx.clone(), metrics_listener)));
     spawn(Box::pin(snapshot::serve(cx.clone(), snapshot_listener)));
+    spawn(Box::pin(tunnel_server::serve(cx.clone(), tunnel_listener)));
     spawn(Box::pin(run_gossip(cx.clone())));
     spawn(Box::pin(tick(cx.clone())));
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
--- a/stoatjunction_entry/src/heartbeat.rs
+++ b/stoatjunction_entry/src/heartbeat.rs
@@ -36,6 +36,8 @@
     pub(crate) dc: String,
     pub(crate) leaving: bool,
     pub(crate) follows: bool,
+    /// Services whose upstreams this host does not reach.
+    pub(crate) cut_off: Vec<String>,
     pub(crate) known: StateVersion,
     pub(crate) loads: Vec<UpstreamLoad>,
     /// Waiting requests by service and precedence.
@@ -111,6 +113,13 @@
     }
 }
 
+/// Returns the services whose upstreams this host does not reach.
+pub(crate) fn cut_off_services(state: &SharedState) -> Vec<String> {
+    let schedulers = state.schedulers.iter();
+    let cut_off = schedulers.filter(|(_, s)| s.reachability.is_cut_off());
+    cut_off.map(|(service, _)| service.clone()).collect()
+}
+
 /// Returns this host's own load on each upstream that it uses.
 pub(crate) fn own_loads(state: &SharedState) -> Vec<UpstreamLoad> {
     let load = |pool: &Pool, key: UpstreamKey, u: &Upstream| UpstreamLoad {
@@ -155,6 +164,7 @@
         dc: cx.settings.dc.clone(),
         leaving: state.phase == Phase::Closing,
         follows: followers::follows(state),
+        cut_off: cut_off_services(state),
         known: state_version(state),
         loads: own_loads(state),
         waiting: own_waiting(state),
@@ -247,6 +257,7 @@
         dc: heartbeat.dc,
         leaving: heartbeat.leaving,
         follows: heartbeat.follows,
+        cut_off: heartbeat.cut_off,
         loads: heartbeat.loads,
         waiting: heartbeat.waiting,
         ..Peer::default()
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -53,4 +53,8 @@
 mod stream;
 mod stream_buffer;
 mod stream_origins;
+mod tunnel_server;
+mod tunnel_stream;
+mod tunnels;
+mod upstream_connections;
 mod write_watch;
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -8,6 +8,7 @@
 use stoatjunction_core::entry::health::RunOutcome;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
+use stoatjunction_core::entry::reachability::Reachability;
 use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::upstream_notices::Statement;
 use stoatjunction_core::time::{Span, Time};
@@ -44,6 +45,8 @@
 pub(crate) struct ServiceScheduler {
     pub(crate) pool: Pool,
     pub(crate) queue: Queue,
+    /// Whether this host reaches the upstreams.
+    pub(crate) reachability: Reachability,
     waiters: IndexMap<RequestId, oneshot::Sender<PlacementResult>>,
 }
 
@@ -53,6 +56,7 @@
         ServiceScheduler {
             pool,
             queue: Queue::default(),
+            reachability: Reachability::default(),
             waiters: IndexMap::new(),
         }
     }
@@ -210,7 +214,7 @@
             let mut state = cx.state.borrow_mut();
             let scheduler = state.schedulers.get(service);
             let upstream = scheduler.and_then(|s| s.pool.upstream(key));
-            let target = upstream.map(|u| UpstreamTarget::new(&u.listed));
+            let target = upstream.map(UpstreamTarget::new);
             let number = upstream.map_or(0, |u| u.number);
             let version = target.as_ref().map(|t| t.version);
             let record = RunRecord::begin(&mut state.rollouts, service, of_request, version);
--- a/stoatjunction_entry/src/relay.rs
+++ b/stoatjunction_entry/src/relay.rs
@@ -47,6 +47,8 @@
     boot: u64,
     /// Milliseconds since the relay last received a heartbeat from it.
     age: u64,
+    /// Services whose upstreams it does not reach.
+    cut_off: Vec<String>,
 }
 
 /// Returns the number of a host, which is the same on all hosts.
@@ -119,11 +121,13 @@
         ip: cx.settings.ip,
         boot: cx.boot,
         age: 0,
+        cut_off: heartbeat::cut_off_services(state),
     }];
     hosts.extend(reachable.iter().map(|(ip, p)| Member {
         ip: **ip,
         boot: p.boot,
         age: now.since(p.last_seen).as_millis(),
+        cut_off: p.cut_off.clone(),
     }));
     let own = heartbeat::own_loads(state);
     let loads = own
@@ -206,6 +210,7 @@
                 boot: member.boot,
                 last_seen,
                 dc: summary.dc.clone(),
+                cut_off: member.cut_off,
                 ..Peer::default()
             };
             state.record_peer(member.ip, peer);
--- a/stoatjunction_entry/src/settings.rs
+++ b/stoatjunction_entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub heartbeat_port: u16,
     /// TCP port for fetching snapshots from other hosts, the same on all hosts.
     pub snapshot_port: u16,
+    /// TCP port for connections to upstreams that this host opens for others, the same on all hosts.
+    pub tunnel_port: u16,
     /// True when the whole fleet starts for the first time.
     pub first_start: bool,
     /// Address of the metrics.
@@ -59,6 +61,7 @@
             ready: SocketAddr::new(loopback, 8_081),
             heartbeat_port: 8_090,
             snapshot_port: 8_091,
+            tunnel_port: 8_093,
             first_start: false,
             metrics: SocketAddr::new(loopback, 8_092),
             seeds: Vec::new(),
--- a/stoatjunction_entry/src/start_reports.rs
+++ b/stoatjunction_entry/src/start_reports.rs
@@ -18,10 +18,10 @@
 
 use crate::attempt::UpstreamTarget;
 use crate::clock;
-use crate::connection_pool;
 use crate::placement::Placement;
 use crate::read_limit::CountedBody;
 use crate::state::{Context, SharedState};
+use crate::upstream_connections;
 
 /// Time within which an upstream must send its report. It needs no slot and answers at once.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -118,11 +118,11 @@
 }
 
 async fn request_report(
-    cx: &Context,
+    cx: &Rc<Context>,
     placement: &Placement,
     target: &UpstreamTarget,
 ) -> StartReport {
-    let read = tokio::time::timeout(REPORT_TIMEOUT, read_born(cx, &target.addr)).await;
+    let read = tokio::time::timeout(REPORT_TIMEOUT, read_born(cx, target)).await;
     let read = read.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
     let report = match &read {
         Ok(Some(born)) if Pool::is_number_of(placement.number(), &target.id, *born) => {
@@ -149,11 +149,11 @@
     report
 }
 
-/// Reads the start that the upstream at `addr` reports over a new connection; `None` if it reports none.
-async fn read_born(cx: &Context, addr: &str) -> io::Result<Option<u64>> {
-    let mut connection = connection_pool::open(addr).await?;
+/// Reads the start that an upstream reports over a new connection; `None` if it reports none.
+async fn read_born(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Option<u64>> {
+    let mut connection = upstream_connections::open(cx, target).await?;
     let req = Request::get(&cx.names.report_path)
-        .header(HOST, addr)
+        .header(HOST, &target.addr)
         .body(Full::new(Bytes::new()))
         .map_err(io::Error::other)?;
     let res = connection.sender.send_request(req).await;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -43,6 +43,7 @@
 use crate::settings::EntrySettings;
 use crate::start_reports::StartChecks;
 use crate::stream_origins::OpenQueries;
+use crate::tunnels::Tunnels;
 
 /// Phase of the daemon, from start to shutdown.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -84,6 +85,8 @@
     pub(crate) follows: bool,
     /// True once it only finishes requests in progress.
     pub(crate) leaving: bool,
+    /// Services whose upstreams it does not reach.
+    pub(crate) cut_off: Vec<String>,
     /// Requests per second that its callers make to each service.
     pub(crate) demand: Vec<(String, f32)>,
     pub(crate) loads: Vec<UpstreamLoad>,
@@ -166,6 +169,7 @@
     pub(crate) boot: u64,
     pub(crate) state: RefCell<SharedState>,
     pub(crate) connections: ConnectionPool,
+    pub(crate) tunnels: Tunnels,
     pub(crate) metrics: EntryMetrics,
     /// Socket for messages between hosts, once it is bound.
     pub(crate) gossip_socket: OnceCell<UdpSocket>,
@@ -239,6 +243,7 @@
             boot,
             state: RefCell::new(state),
             connections: ConnectionPool::default(),
+            tunnels: Tunnels::default(),
             metrics,
             gossip_socket: OnceCell::new(),
             gossip_wakeup: Notify::new(),
@@ -373,6 +378,9 @@
         connection: Connection,
         upstream_timeout: Option<Span>,
     ) {
+        if connection.is_tunnelled {
+            return;
+        }
         let (_, known) = self.reachable_hosts();
         let accepted = {
             let state = self.state.borrow();
--- /dev/null
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -0,0 +1,144 @@
+//! Connections to upstreams that this host opens for hosts which are cut off from them.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, Response, StatusCode};
+use stoatjunction_net::admin::query_value;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::attempt::UpstreamTarget;
+use crate::connection_pool::CONNECT_TIMEOUT;
+use crate::sockets;
+use crate::state::{Context, InProgress, Phase};
+use crate::tunnel_stream::TunnelStream;
+use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
+use crate::upstream_connections;
+
+/// Connections to upstreams that are open for other hosts at once; each needs a file.
+const MAX_TUNNELS: usize = 400;
+/// Streams that one other host may open at once.
+const MAX_STREAMS: u32 = 400;
+
+/// Serves other hosts.
+pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let (cx, open) = (cx.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(e) = serve_host(&cx, stream, &open).await {
+                log::debug!("event=tunnels_ended reason=\"{e}\"");
+            }
+        });
+    }
+}
+
+async fn serve_host(cx: &Rc<Context>, stream: TcpStream, open: &Rc<Cell<usize>>) -> io::Result<()> {
+    sockets::set_options(&stream)?;
+    let handshake = h2::server::Builder::new()
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .handshake(stream);
+    let mut conn = handshake.await.map_err(io::Error::other)?;
+    while let Some(accepted) = conn.accept().await {
+        let (req, respond) = accepted.map_err(io::Error::other)?;
+        let (cx, open) = (cx.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(e) = serve_tunnel(&cx, req, respond, &open).await {
+                log::debug!("event=tunnel_ended reason=\"{e}\"");
+            }
+        });
+    }
+    Ok(())
+}
+
+/// A tunnel that counts as open until it is dropped.
+struct OpenTunnel<'a> {
+    open: &'a Cell<usize>,
+    _in_progress: InProgress,
+}
+
+impl<'a> OpenTunnel<'a> {
+    fn new(cx: &Rc<Context>, open: &'a Cell<usize>) -> Option<OpenTunnel<'a>> {
+        let may_open = open.get() < MAX_TUNNELS && cx.state.borrow().phase != Phase::Closing;
+        may_open.then(|| {
+            open.set(open.get() + 1);
+            OpenTunnel {
+                open,
+                _in_progress: InProgress::new(cx),
+            }
+        })
+    }
+}
+
+impl Drop for OpenTunnel<'_> {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
+
+async fn serve_tunnel(
+    cx: &Rc<Context>,
+    req: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    open: &Cell<usize>,
+) -> io::Result<()> {
+    let tunnel = OpenTunnel::new(cx, open);
+    let connected = match &tunnel {
+        Some(_) => connect(cx, &req).await,
+        None => Err(UNAVAILABLE),
+    };
+    let result = connected
+        .as_ref()
+        .map_or_else(StatusCode::as_str, |_| "200");
+    cx.metrics.count("tunnels_served", &[("result", result)]);
+    let mut res = Response::new(());
+    let mut upstream = match connected {
+        Ok(upstream) => upstream,
+        Err(status) => {
+            *res.status_mut() = status;
+            let sent = respond.send_response(res, true);
+            return sent.map(|_| ()).map_err(io::Error::other);
+        }
+    };
+    let tx = respond
+        .send_response(res, false)
+        .map_err(io::Error::other)?;
+    let mut stream = TunnelStream::new(tx, req.into_body());
+    tokio::io::copy_bidirectional(&mut stream, &mut upstream).await?;
+    Ok(())
+}
+
+/// Connects to the listed upstream that a request names, over a connection of this host's own.
+async fn connect(cx: &Rc<Context>, req: &Request<RecvStream>) -> Result<TcpStream, StatusCode> {
+    let query = req.uri().query().unwrap_or_default();
+    let number = query_value(query, "upstream").and_then(|n| n.parse().ok());
+    let target = number.and_then(|number| target_of(cx, number));
+    let target = target.ok_or(UNAVAILABLE)?;
+    let service = &target.service;
+    if upstream_connections::is_cut_off(cx, service) {
+        return Err(UNAVAILABLE);
+    }
+    let connected = sockets::connect(&target.addr, CONNECT_TIMEOUT).await;
+    upstream_connections::record(cx, service, target.number, connected.is_ok());
+    connected.map_err(|e| match e.kind() {
+        _ if upstream_connections::is_cut_off(cx, service) => UNAVAILABLE,
+        io::ErrorKind::ConnectionRefused => REFUSED,
+        _ => TIMED_OUT,
+    })
+}
+
+fn target_of(cx: &Context, number: u64) -> Option<UpstreamTarget> {
+    let state = cx.state.borrow();
+    let mut pools = state.schedulers.values().map(|s| &s.pool);
+    let upstream = pools.find_map(|p| p.upstream(p.key_by_number(number)?));
+    upstream.map(UpstreamTarget::new)
+}
--- /dev/null
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -0,0 +1,113 @@
+//! Connections to upstreams: this host's own, or through another host while this one is cut off from the upstreams.
+
+use std::io;
+use std::rc::Rc;
+
+use futures_util::future::select_ok;
+use stoatjunction_core::entry::reachability::PROBE_INTERVAL;
+
+use crate::attempt::UpstreamTarget;
+use crate::clock;
+use crate::connection_pool::{self, CONNECT_TIMEOUT, Connection};
+use crate::sockets;
+use crate::state::Context;
+use crate::tunnels;
+
+/// Upstreams to which a host that is cut off tries connections of its own at once.
+const PROBED_UPSTREAMS: usize = 2;
+
+/// Opens a connection to an upstream. When it fails, nothing of a request has been sent.
+///
+/// # Errors
+///
+/// An error of the kind `ConnectionRefused` only if the upstream refused the connection, as far as this host can know.
+pub(crate) async fn open(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
+    if !is_cut_off(cx, &target.service) {
+        let opened = connection_pool::open(&target.addr).await;
+        record(cx, &target.service, target.number, opened.is_ok());
+        if opened.is_ok() || !is_cut_off(cx, &target.service) {
+            return opened;
+        }
+    }
+    let stream = tunnels::open(cx, target).await?;
+    connection_pool::open_on(stream).await
+}
+
+/// Returns whether this host is cut off from the upstreams of a service.
+pub(crate) fn is_cut_off(cx: &Context, service: &str) -> bool {
+    let state = cx.state.borrow();
+    let scheduler = state.schedulers.get(service);
+    scheduler.is_some_and(|s| s.reachability.is_cut_off())
+}
+
+/// Records whether a connection of this host's own to an upstream could be opened.
+pub(crate) fn record(cx: &Rc<Context>, service: &str, upstream: u64, is_open: bool) {
+    if is_open {
+        record_opened(cx, service);
+        return;
+    }
+    let now = clock::now();
+    let of_service: Vec<String> = {
+        let mut state = cx.state.borrow_mut();
+        let Some(scheduler) = state.schedulers.get_mut(service) else {
+            return;
+        };
+        let of_service = scheduler.pool.upstreams().map(|(_, u)| u.listed.id.clone());
+        let of_service: Vec<String> = of_service.collect();
+        let reachability = &mut scheduler.reachability;
+        if !reachability.record_failed(upstream, of_service.len(), now) {
+            return;
+        }
+        of_service
+    };
+    log::info!(
+        "event=cut_off service={service} upstreams={}",
+        of_service.len()
+    );
+    cx.metrics.count("cut_off", &[("service", service)]);
+    // Idle connections may be as dead as new ones.
+    cx.connections
+        .remove_unusable(|id| !of_service.iter().any(|listed| listed == id));
+    cx.gossip_wakeup.notify_one();
+    tokio::task::spawn_local(probe(cx.clone(), service.to_owned()));
+}
+
+fn record_opened(cx: &Context, service: &str) {
+    let cut_off_for = {
+        let mut state = cx.state.borrow_mut();
+        let scheduler = state.schedulers.get_mut(service);
+        scheduler.and_then(|s| s.reachability.record_opened(clock::now()))
+    };
+    if let Some(span) = cut_off_for {
+        log::info!(
+            "event=cut_off_ended service={service} after_ms={}",
+            span.as_millis()
+        );
+        cx.tunnels.clear();
+        cx.gossip_wakeup.notify_one();
+    }
+}
+
+/// Tries connections of this host's own until one can be opened. The first tries come at once: the upstreams that
+/// could not be reached may just have been down.
+async fn probe(cx: Rc<Context>, service: String) {
+    while is_cut_off(&cx, &service) {
+        let addrs = addrs_to_probe(&cx, &service);
+        let opens = addrs
+            .iter()
+            .map(|addr| Box::pin(sockets::connect(addr, CONNECT_TIMEOUT)));
+        if addrs.is_empty() || select_ok(opens).await.is_ok() {
+            record_opened(&cx, &service);
+            return;
+        }
+        tokio::time::sleep(PROBE_INTERVAL.into()).await;
+    }
+}
+
+fn addrs_to_probe(cx: &Context, service: &str) -> Vec<String> {
+    let state = cx.state.borrow();
+    let upstreams = state.schedulers.get(service).map(|s| s.pool.upstreams());
+    let addrs = upstreams.into_iter().flatten();
+    let addrs: Vec<String> = addrs.map(|(_, u)| u.listed.addr.clone()).collect();
+    fastrand::choose_multiple(addrs, PROBED_UPSTREAMS)
+}
