--- a/stoatjunction_core/src/time.rs
+++ b/stoatjunction_core/src/time.rs
@@ -38,7 +38,7 @@
 
     /// Returns a span of `ms` milliseconds.
     pub const fn from_millis(ms: u64) -> Span {
-        Span(ms * 1_000)
+        Span(ms.saturating_mul(1_000))
     }
 
     /// Returns a span of `secs` seconds, rounded down to microseconds. Negative values give zero.
--- a/stoatjunction_standin/src/metadata_store.rs
+++ b/stoatjunction_standin/src/metadata_store.rs
@@ -67,6 +67,8 @@
     old_data: Option<StoreCopy>,
     /// Number of following conditional writes that take effect but whose responses are lost.
     responses_to_lose: u32,
+    /// Texts that stand in responses in place of these strings.
+    replacements: Vec<(String, Bytes)>,
     status_writes: Vec<StatusWrite>,
 }
 
@@ -244,6 +246,16 @@
         revision
     }
 
+    /// Writes an object whose specification stands in responses as this text, which need not be JSON.
+    pub fn put_text(&self, kind: &str, name: &str, text: &[u8]) {
+        let mut state = self.lock();
+        let mark = format!("text-{}", state.replacements.len());
+        let text = Bytes::copy_from_slice(text);
+        state.replacements.push((format!("\"{mark}\""), text));
+        drop(state);
+        self.put(kind, name, json!(mark));
+    }
+
     /// Removes an object.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.lock();
@@ -297,6 +309,7 @@
             std::future::pending::<()>().await;
         }
         // A watch that waits while the store comes back from a copy is cut off, like its connection.
+        res = self.with_texts(res).await;
         let now = self.lock().era;
         if era != now {
             res = status(StatusCode::GONE);
@@ -305,6 +318,24 @@
         res
     }
 
+    /// Puts texts in the place of the strings that stand for them.
+    async fn with_texts(&self, res: Response<Body>) -> Response<Body> {
+        let replacements = self.lock().replacements.clone();
+        if replacements.is_empty() {
+            return res;
+        }
+        let (head, body) = res.into_parts();
+        let body = body.collect().await.map(|b| b.to_bytes());
+        let mut body = body.unwrap_or_default().to_vec();
+        for (mark, text) in replacements {
+            let mark = mark.as_bytes();
+            while let Some(at) = body.windows(mark.len()).position(|w| w == mark) {
+                body.splice(at..at + mark.len(), text.iter().copied());
+            }
+        }
+        Response::from_parts(head, full(body))
+    }
+
     async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
         let mode = {
             let mut state = self.lock();
