Keep where streams began in the store, and doubt what one host knows

If the older version had just left, its streams went on at the newer one instead (ORDER). (2) A host whose list is older than a stream takes the one version that it knows for the one that began it (ORDER).

One cause: a host took the versions that it knows for all that may have begun a stream. It does not know what served before its start, nor what joined since its list was answered last.

Change: while several versions serve, hosts keep what began with them in the platform's store, many streams to an object. One version only counts as all when a host that has run for a minute, or since the first start, says so, or when the store was read; a host that no other answers reads the list anew first.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod placement_request;
 
+pub mod origin_log;
 pub mod pool;
 pub mod pool_owner;
 mod pool_rollout;
--- a/stoatjunction_core/src/entry/software_version.rs
+++ b/stoatjunction_core/src/entry/software_version.rs
@@ -21,6 +21,16 @@
     pub fn new(service: &str, name: &str) -> SoftwareVersion {
         SoftwareVersion(hash::hash_parts(&[service.as_bytes(), name.as_bytes()]) as u32)
     }
+
+    /// Returns the version with this number.
+    pub fn from_number(number: u32) -> SoftwareVersion {
+        SoftwareVersion(number)
+    }
+
+    /// Returns the number of the version.
+    pub fn number(self) -> u32 {
+        self.0
+    }
 }
 
 /// Versions whose last upstream has left the list, while streams that they began may be taken up.
--- a/stoatjunction_core/src/entry/stream_origins.rs
+++ b/stoatjunction_core/src/entry/stream_origins.rs
@@ -20,6 +20,16 @@
     pub fn new(request_id: &[u8]) -> StreamId {
         StreamId(hash::hash_parts(&[request_id]))
     }
+
+    /// Returns the id with this number.
+    pub fn from_number(number: u64) -> StreamId {
+        StreamId(number)
+    }
+
+    /// Returns the number of the id.
+    pub fn number(self) -> u64 {
+        self.0
+    }
 }
 
 /// A stream with the version that began it.
@@ -101,10 +111,13 @@
     pub version: Option<SoftwareVersion>,
     /// Versions that may have begun it: those that serve, and those that did lately.
     pub candidates: Vec<SoftwareVersion>,
-    /// True while `candidates` is up to date, by the platform or by another host.
-    pub is_current: bool,
+    /// True if `candidates` surely holds each version that may have begun it: a host that did not start lately and is in
+    /// touch with others says so, or the platform's store.
+    pub is_sure: bool,
     /// True while other hosts may know more.
     pub may_ask: bool,
+    /// True while the platform's store may know more.
+    pub may_read: bool,
 }
 
 /// What to do with a stream that a caller takes up.
@@ -114,6 +127,8 @@
     GoOn(SoftwareVersion),
     /// Other hosts are asked.
     Ask,
+    /// The platform's store is read.
+    Read,
     /// It is refused: it could be mixed with what another version writes.
     Refuse,
 }
@@ -124,7 +139,8 @@
         match (self.version, self.may_ask, self.candidates.as_slice()) {
             (Some(version), _, _) => Resumption::GoOn(version),
             (None, true, _) => Resumption::Ask,
-            (None, false, [only]) if self.is_current => Resumption::GoOn(*only),
+            (None, false, [only]) if self.is_sure => Resumption::GoOn(*only),
+            (None, false, _) if self.may_read => Resumption::Read,
             (None, false, _) => Resumption::Refuse,
         }
     }
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::sockets;
 use crate::state::{Context, Phase};
 use crate::store_watch::{self, Store, Topic};
+use crate::stored_origins;
 use crate::tunnel_server;
 
 /// Time after SIGTERM in which new connections are still accepted: the load balancer needs two
@@ -109,6 +110,8 @@
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
     spawn(Box::pin(crash_writer::run(cx.clone(), store.clone())));
+    spawn(Box::pin(stored_origins::write(cx.clone(), store.clone())));
+    spawn(Box::pin(stored_origins::read(cx.clone(), store.clone())));
     for topic in [Topic::Configuration, Topic::Upstreams, Topic::Crashes] {
         spawn(Box::pin(store_watch::follow(
             cx.clone(),
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod state;
 mod statements;
 pub mod store_watch;
+mod stored_origins;
 mod stream;
 mod stream_buffer;
 mod stream_origins;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -13,6 +13,7 @@
 use stoatjunction_core::entry::follower_election::FollowerElection;
 use stoatjunction_core::entry::list_doubt::ListDoubt;
 use stoatjunction_core::entry::memory_budget::{self, MemoryBudget};
+use stoatjunction_core::entry::origin_log::OriginLog;
 use stoatjunction_core::entry::pool::{Pool, WaitingCounts};
 use stoatjunction_core::entry::propagation::PropagationBounds;
 use stoatjunction_core::entry::queue::RequestId;
@@ -42,6 +43,7 @@
 use crate::rollouts::{self, Rollouts};
 use crate::settings::EntrySettings;
 use crate::start_reports::StartChecks;
+use crate::stored_origins::{OriginReads, StoredVersions};
 use crate::stream_origins::OpenQueries;
 use crate::tunnels::Tunnels;
 
@@ -124,6 +126,10 @@
     pub(crate) list_doubt: ListDoubt,
     pub(crate) start_checks: StartChecks,
     pub(crate) stream_origins: StreamOrigins,
+    /// The streams that began at this host, for the store.
+    pub(crate) origin_log: OriginLog,
+    /// Versions that hosts have written to the store.
+    pub(crate) stored_versions: StoredVersions,
     pub(crate) rollouts: Rollouts,
     pub(crate) open_queries: OpenQueries,
     pub(crate) pending_updates: PendingUpdates,
@@ -179,6 +185,10 @@
     pub(crate) queue_wakeup: Notify,
     /// Wakes the task that stores crashes.
     pub(crate) crash_wakeup: Notify,
+    /// Wakes the task that stores where streams began.
+    pub(crate) origin_wakeup: Notify,
+    /// Reads of where streams began from the store.
+    pub(crate) origin_reads: OriginReads,
     /// Wakes the task that evaluates rollouts, when an order is new or has changed.
     pub(crate) rollout_wakeup: Notify,
     pub(crate) in_progress: Cell<usize>,
@@ -216,6 +226,8 @@
             list_doubt: ListDoubt::default(),
             start_checks: StartChecks::new(settings.first_start),
             stream_origins: StreamOrigins::default(),
+            origin_log: OriginLog::default(),
+            stored_versions: StoredVersions::default(),
             rollouts: Rollouts::new(settings.rollout, &settings.host, &settings.dc, boot),
             open_queries: OpenQueries::default(),
             pending_updates: PendingUpdates::default(),
@@ -249,6 +261,8 @@
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
+            origin_wakeup: Notify::new(),
+            origin_reads: OriginReads::default(),
             rollout_wakeup: Notify::new(),
             in_progress: Cell::new(0),
             discards: Cell::new(0),
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -11,6 +11,8 @@
 use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::propagation::{PropagationTimes, ROLE_CHECK_INTERVAL};
 use stoatjunction_core::entry::rollout::{Progress, RolloutOrder, RolloutState};
+use stoatjunction_core::entry::software_version::SoftwareVersion;
+use stoatjunction_core::entry::stream_origins::BegunStream;
 use stoatjunction_core::entry::upstream_list::UpstreamEntry;
 use stoatjunction_core::time::{Span, Time};
 use thiserror::Error;
@@ -151,6 +153,19 @@
     pub progress: Progress,
 }
 
+/// Where streams began, as a host keeps it in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredOrigins {
+    /// Name of the object.
+    pub name: String,
+    /// Time since it was written.
+    pub age: Span,
+    /// Versions that may have begun streams, by service.
+    pub versions: Vec<(String, Vec<SoftwareVersion>)>,
+    /// The streams.
+    pub streams: Vec<BegunStream>,
+}
+
 /// Result of writing the status of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StatusWrite {
@@ -235,6 +250,24 @@
     /// Removes a crash. Succeeds if it is not there.
     fn remove_crash(&self, crash: Crash) -> impl Future<Output = Result<(), StoreError>>;
 
+    /// Returns where streams began, as far as hosts have written it.
+    fn list_origins(&self) -> impl Future<Output = Result<Vec<StoredOrigins>, StoreError>>;
+
+    /// Writes an object with streams that began. Succeeds if it is there already.
+    fn create_origins(
+        &self,
+        origins: &StoredOrigins,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Replaces such an object.
+    fn replace_origins(
+        &self,
+        origins: &StoredOrigins,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// Removes such an object. Succeeds if it is not there.
+    fn remove_origins(&self, name: &str) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Returns the order for a service, if there is one.
     fn read_rollout(
         &self,
@@ -327,6 +360,27 @@
     listed
 }
 
+/// Lists the upstreams beside the watch on them: what this host knows may be old.
+///
+/// # Errors
+///
+/// The error of the store.
+pub(crate) async fn list_upstreams_anew<S>(
+    cx: &Context,
+    store: &S,
+    role: Role,
+) -> Result<(), StoreError>
+where
+    S: Store,
+{
+    let listed = store.list(Topic::Upstreams).await;
+    record_call(cx, Topic::Upstreams, "list", role, listed.as_ref().err());
+    let all = listed?;
+    read_orders_first(cx, store, role, &all).await;
+    replace_upstreams(cx, all);
+    Ok(())
+}
+
 /// Returns the upstreams from a list that may be old and the changes since then, which make it present.
 async fn list_and_catch_up<S>(cx: &Context, store: &S, role: Role) -> Result<Changes, StoreError>
 where
--- a/stoatjunction_entry/src/stream_origins.rs
+++ b/stoatjunction_entry/src/stream_origins.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use stoatjunction_core::code::Code;
 use stoatjunction_core::entry::config::{Route, RouteKind};
-use stoatjunction_core::entry::software_version::SoftwareVersion;
+use stoatjunction_core::entry::software_version::{MAX_STREAM_AGE, SoftwareVersion};
 use stoatjunction_core::entry::stream_origins::{
     BegunStream, Place, Resumption, StreamId, StreamKnowledge,
 };
@@ -18,11 +18,11 @@
 
 use crate::attempt::UpstreamRequest;
 use crate::clock;
-use crate::followers;
 use crate::gossip;
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::state::{Context, SharedState};
+use crate::stored_origins::ReadTimes;
 
 /// Number of heartbeats that report a stream, since datagrams are lost occasionally.
 const REPORT_COUNT: u8 = 2;
@@ -34,6 +34,8 @@
 const ANSWER_TIMEOUT: Span = Span::from_millis(400);
 /// Time after which hosts that have not answered are asked again.
 const ASK_INTERVAL: Span = Span::from_millis(100);
+/// Age up to which a read of the store counts beside the answers of other hosts.
+const READ_AGE: Span = Span::from_millis(1_000);
 /// Shortest time after which a caller may come back with a stream that no host knows; as long again is drawn.
 const UNKNOWN_RETRY_AFTER: Span = Span::from_millis(300);
 /// The same for a stream whose version has no upstream left.
@@ -57,6 +59,8 @@
     version: Option<SoftwareVersion>,
     /// Versions that may have begun the stream as far as the host knows.
     candidates: Vec<SoftwareVersion>,
+    /// True if the host has run for so long that these are all.
+    is_sure: bool,
 }
 
 /// Streams that hosts are being asked about, with the requests that wait for answers.
@@ -70,8 +74,8 @@
 enum Answered {
     /// This host knows the stream by now.
     Known,
-    /// The host does not know the stream, only these candidates.
-    By(IpAddr, Vec<SoftwareVersion>),
+    /// The host does not know the stream, only these candidates, and whether these are all.
+    By(IpAddr, Vec<SoftwareVersion>, bool),
 }
 
 impl OpenQueries {
@@ -112,7 +116,9 @@
     {
         let pending = &mut state.pending_updates.begun_streams;
         pending.push((begun, REPORT_COUNT));
+        state.origin_log.record(begun, clock::now());
         cx.gossip_wakeup.notify_one();
+        cx.origin_wakeup.notify_one();
     }
 }
 
@@ -171,14 +177,20 @@
         stream: query.stream,
         version: state.stream_origins.version_of(query.stream),
         candidates: candidates(&state, &query.services, clock::now()),
+        is_sure: remembers_versions(cx, &state, clock::now()),
     }
 }
 
+/// Returns whether this host has run since before any stream began that a caller may take up.
+fn remembers_versions(cx: &Context, state: &SharedState, now: Time) -> bool {
+    cx.settings.first_start || now.since(state.started) >= MAX_STREAM_AGE
+}
+
 /// Applies the answer of the host at `sender`.
 pub(crate) fn receive_answer(cx: &Context, sender: IpAddr, answer: OriginAnswer) {
     let mut state = cx.state.borrow_mut();
     let Some(version) = answer.version else {
-        let answered = Answered::By(sender, answer.candidates);
+        let answered = Answered::By(sender, answer.candidates, answer.is_sure);
         state.open_queries.answer(answer.stream, &answered);
         return;
     };
@@ -188,8 +200,10 @@
 
 fn candidates(state: &SharedState, services: &[String], now: Time) -> Vec<SoftwareVersion> {
     let pools = services.iter().filter_map(|s| state.schedulers.get(s));
-    let mut versions: Vec<SoftwareVersion> =
-        pools.flat_map(|s| s.pool.recent_versions(now)).collect();
+    let known = pools.flat_map(|s| s.pool.recent_versions(now));
+    let stored = services.iter();
+    let stored = stored.flat_map(|s| state.stored_versions.recent(s, now));
+    let mut versions: Vec<SoftwareVersion> = known.chain(stored).collect();
     versions.sort_unstable();
     versions.dedup();
     versions
@@ -225,15 +239,19 @@
         services: route.targets.iter().map(|(s, _)| s.clone()).collect(),
     };
     let mut knowledge = own_knowledge(cx, &taken_up);
+    let mut answered_by_hosts = false;
     if knowledge.decide() == Resumption::Ask {
-        ask_others(cx, &taken_up, &mut knowledge).await;
+        answered_by_hosts = ask_others(cx, &taken_up, &mut knowledge).await;
+    }
+    if knowledge.decide() == Resumption::Read {
+        read_store(cx, &taken_up, &mut knowledge, answered_by_hosts).await;
     }
     let Resumption::GoOn(version) = knowledge.decide() else {
         log::info!(
-            "event=origin_unknown request={} candidates={} current={}",
+            "event=origin_unknown request={} candidates={} sure={}",
             taken_up.request_id,
             knowledge.candidates.len(),
-            knowledge.is_current
+            knowledge.is_sure
         );
         return Err(refuse(Code::OriginUnknown, UNKNOWN_RETRY_AFTER));
     };
@@ -275,8 +293,9 @@
     StreamKnowledge {
         version: version.and_then(|s| state.stream_origins.version_of(s)),
         candidates: candidates(&state, &taken_up.services, clock::now()),
-        is_current: followers::follows(&state),
+        is_sure: false,
         may_ask: !hosts_to_ask(&state).is_empty(),
+        may_read: true,
     }
 }
 
@@ -296,8 +315,55 @@
     hosts
 }
 
-/// Asks other hosts, until one knows the stream, all have answered, or the time is up.
-async fn ask_others(cx: &Rc<Context>, taken_up: &TakenUp<'_>, knowledge: &mut StreamKnowledge) {
+/// Reads the store, and adds what it knows. If no other host has answered, what this host knows may be old, and only
+/// what is read from now on counts.
+async fn read_store(
+    cx: &Rc<Context>,
+    taken_up: &TakenUp<'_>,
+    knowledge: &mut StreamKnowledge,
+    answered_by_hosts: bool,
+) {
+    knowledge.may_read = false;
+    let now = clock::now();
+    let started = cx.state.borrow().started;
+    let needed = match (answered_by_hosts, knowledge.candidates.len()) {
+        (false, _) => ReadTimes {
+            origins: now,
+            list: now,
+        },
+        (true, 0 | 1) => ReadTimes {
+            origins: started,
+            list: Time::default(),
+        },
+        (true, _) => ReadTimes {
+            origins: started.max(now.saturating_sub(READ_AGE)),
+            list: Time::default(),
+        },
+    };
+    let is_read = cx.origin_reads.wait(needed).await;
+    let state = cx.state.borrow();
+    knowledge.is_sure |= is_read;
+    knowledge.version = taken_up
+        .stream
+        .and_then(|s| state.stream_origins.version_of(s));
+    let known = candidates(&state, &taken_up.services, clock::now());
+    knowledge.candidates.extend(known);
+    knowledge.candidates.sort_unstable();
+    knowledge.candidates.dedup();
+    log::info!(
+        "event=origin_read request={} known={} read={is_read} took_ms={}",
+        taken_up.request_id,
+        knowledge.version.is_some(),
+        clock::now().since(now).as_millis()
+    );
+}
+
+/// Asks other hosts, until one knows the stream, all have answered, or the time is up. Returns whether any has answered.
+async fn ask_others(
+    cx: &Rc<Context>,
+    taken_up: &TakenUp<'_>,
+    knowledge: &mut StreamKnowledge,
+) -> bool {
     knowledge.may_ask = false;
     // A stream that the caller doesn't name is known to no host, but they may know of further versions.
     let stream = taken_up.stream.unwrap_or(StreamId::new(b""));
@@ -305,11 +371,13 @@
         stream,
         services: taken_up.services.clone(),
     };
-    let (mut rx, mut unanswered, is_complete) = {
+    let (mut rx, mut unanswered, is_complete, remembers) = {
         let mut state = cx.state.borrow_mut();
         let rx = state.open_queries.open(stream);
-        (rx, hosts_to_ask(&state), !state.has_many_hosts())
+        let remembers = remembers_versions(cx, &state, clock::now());
+        (rx, hosts_to_ask(&state), !state.has_many_hosts(), remembers)
     };
+    let mut has_answer = false;
     let began = clock::now();
     let gives_up_at = began + ANSWER_TIMEOUT;
     while clock::now() < gives_up_at {
@@ -317,11 +385,12 @@
         let asks_again_at = (clock::now() + ASK_INTERVAL).min(gives_up_at);
         let receive = async {
             while let Some(answered) = rx.recv().await {
-                let Answered::By(host, candidates) = answered else {
+                let Answered::By(host, candidates, is_sure) = answered else {
                     return true;
                 };
                 unanswered.retain(|ip| *ip != host);
-                knowledge.is_current = true;
+                has_answer = true;
+                knowledge.is_sure |= is_sure || remembers;
                 knowledge.candidates.extend(candidates);
                 if unanswered.is_empty() && is_complete {
                     return true;
@@ -348,4 +417,5 @@
         unanswered.len(),
         clock::now().since(began).as_millis()
     );
+    has_answer
 }
