A stream that is taken up goes to no service without a share of its route

What callers may have seen (CONFIG): after a change that moves a route to another service, a stream that is taken up is still run by the old one, as only the older version allows.

Cause: a stream taken up goes to the first target of its route that has upstreams of the version that began it; the target's share was not looked at. New requests draw by shares.

Change: targets with a share of 0 are left out; the stream is refused as one whose version is gone.

--- a/stoatjunction_entry/src/stream_origins.rs
+++ b/stoatjunction_entry/src/stream_origins.rs
@@ -273,7 +273,8 @@
         let scheduler = state.schedulers.get(service);
         scheduler.is_some_and(|s| s.pool.serves_version(version, clock::now()))
     };
-    let mut services = route.targets.iter().map(|(service, _)| service.as_str());
+    let used = route.targets.iter().filter(|(_, weight)| *weight > 0);
+    let mut services = used.map(|(service, _)| service.as_str());
     services.find(|s| serves(s))
 }
 
