Count an upstream that is lost with several copies of a request once

Cause: each run that ended counted as a crash of its own, though the upstream ended once.

Change: runs that were under way together on the same start of an upstream count as one end. A run that began after an end counts anew, since the list may name a restart late: that promise and its tests stay.

--- a/stoatjunction_core/src/entry/crash_causes.rs
+++ b/stoatjunction_core/src/entry/crash_causes.rs
@@ -199,7 +199,7 @@
     pub fn crash_count(&self, cause: Cause) -> usize {
         let record = self.records.get(&cause);
         record.map_or(0, |r| match cause {
-            Cause::Request(_) => r.unexplained(&self.explanation).count(),
+            Cause::Request(_) => count_ends(r.unexplained(&self.explanation)),
             Cause::PromptPart(_) => r.crashes.len(),
         })
     }
@@ -507,6 +507,26 @@
     }
 }
 
+/// Returns the ends of upstreams that crashes stand for. Runs that were under way together on an upstream ended with it
+/// once; one that began after such an end ran on the next start.
+fn count_ends<'a, I>(crashes: I) -> usize
+where
+    I: Iterator<Item = &'a KnownCrash>,
+{
+    let mut crashes: Vec<&KnownCrash> = crashes.collect();
+    crashes.sort_by_key(|c| c.at);
+    let mut ends: Vec<&KnownCrash> = Vec::new();
+    for crash in crashes {
+        let began_at = crash.at.saturating_sub(crash.run.lasted);
+        let mut of_upstream = ends.iter().rev();
+        let last = of_upstream.find(|e| e.run.upstream == crash.run.upstream);
+        if last.is_none_or(|e| began_at >= e.at) {
+            ends.push(crash);
+        }
+    }
+    ends.len()
+}
+
 impl Record {
     fn last_event_at(&self) -> Time {
         let crashes = self.crashes.iter().map(|c| Some(c.at));
