Blame a broken connection on a request only if the upstream ended with it

Cause: every connection that broke counted as a crash under the request and each part of its prompt, also one that the upstream had dropped while it was idle.

Change: a request is blamed at once only if its connection was opened for it.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -188,7 +188,7 @@
         "attempts",
         &[("connection", source), ("service", placement.service())],
     );
-    placement.mark_sent(request);
+    placement.mark_sent(request, !is_kept);
     placement.set_silence_limit(options.silence_limit);
     connection.counter.reset();
     let response = connection.sender.try_send_request(req);
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -1,5 +1,6 @@
 //! Crashes of upstreams while they run a request, as this host sees them.
 
+use std::io;
 use std::rc::Rc;
 
 use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
@@ -7,6 +8,7 @@
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
+use crate::connection_pool::CONNECT_TIMEOUT;
 use crate::state::Context;
 use crate::upstream_connections;
 
@@ -23,17 +25,36 @@
     /// Number of the upstream.
     upstream: u64,
     sent_at: Time,
+    /// True if its connection was opened for it. One that was kept may have been dropped while it was idle, which the
+    /// upstream shows by a reset of whatever comes next.
+    has_new_connection: bool,
 }
 
 impl SentRequest {
     /// Creates the record of a request that is sent to the upstream with this number now.
-    pub(crate) fn new(request: &UpstreamRequest, upstream: u64) -> SentRequest {
+    pub(crate) fn new(
+        request: &UpstreamRequest,
+        upstream: u64,
+        has_new_connection: bool,
+    ) -> SentRequest {
         SentRequest {
             causes: request.causes.clone(),
             request_id: request.id_for_log().to_owned(),
             attempt: fastrand::u64(..),
             upstream,
             sent_at: clock::now(),
+            has_new_connection,
+        }
+    }
+
+    /// Returns the record with some of the causes only.
+    fn with_causes<F>(&self, is_kept: F) -> SentRequest
+    where
+        F: Fn(&Cause) -> bool,
+    {
+        SentRequest {
+            causes: self.causes.iter().copied().filter(is_kept).collect(),
+            ..self.clone()
         }
     }
 
@@ -87,10 +108,48 @@
     }
 }
 
-/// Records a crash if the upstream, which has fallen silent, accepts no connection either. One that
-/// does is slow or hangs, which says nothing about the request.
+/// Records the crash that a broken connection may be. The request itself is blamed at once if the connection was opened
+/// for it. Otherwise, and for the parts of its prompt, which many requests share, the upstream must have ended.
+pub(crate) async fn record_break(cx: &Rc<Context>, sent: &SentRequest, target: &UpstreamTarget) {
+    let is_request = |cause: &Cause| matches!(cause, Cause::Request(_));
+    let doubted = match sent.has_new_connection {
+        true => {
+            record(cx, &sent.with_causes(is_request), target, "broken");
+            sent.with_causes(|cause| !is_request(cause))
+        }
+        false => sent.clone(),
+    };
+    if doubted.causes.is_empty() {
+        return;
+    }
+    let (cx, target) = (cx.clone(), target.clone());
+    let mut check = tokio::task::spawn_local(async move {
+        if has_ended(&cx, &target).await {
+            record(&cx, &doubted, &target, "broken");
+        }
+    });
+    // An upstream that ended refuses at once; what takes longer must not hold the request up.
+    let _may_go_on = tokio::time::timeout(CONNECT_TIMEOUT, &mut check).await;
+}
+
+/// Records a crash if the upstream, which has fallen silent, has ended. One that accepts connections is slow or hangs,
+/// which says nothing about the request.
 pub(crate) async fn check_upstream(cx: &Rc<Context>, sent: &SentRequest, target: &UpstreamTarget) {
-    if upstream_connections::open(cx, target).await.is_err() {
+    if has_ended(cx, target).await {
         record(cx, sent, target, "silent");
     }
 }
+
+/// Returns whether an upstream accepts no connection. If no host can try one, nothing is known.
+async fn has_ended(cx: &Rc<Context>, target: &UpstreamTarget) -> bool {
+    let opened = upstream_connections::open(cx, target).await;
+    let Err(e) = opened else {
+        return false;
+    };
+    if e.kind() != io::ErrorKind::HostUnreachable {
+        return true;
+    }
+    // Whether the host is cut off is found out meanwhile.
+    tokio::time::sleep(CONNECT_TIMEOUT).await;
+    !upstream_connections::is_cut_off(cx, &target.service)
+}
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -237,7 +237,7 @@
                 });
             }
             Err(AttemptError::Broken) => {
-                placement.end(RunOutcome::Broken);
+                placement.end_broken().await;
                 admitted.attempts += 1;
             }
             Err(AttemptError::TimedOut) => admitted.attempts += 1,
@@ -382,7 +382,7 @@
             );
             // The upstream is not at fault if this host could not read on.
             if !matches!(e, CollectError::NoMemory) {
-                placement.end(RunOutcome::Broken);
+                placement.end_broken().await;
             }
             return Err(());
         }
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -262,8 +262,8 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    pub(crate) fn mark_sent(&self, request: &UpstreamRequest) {
-        let sent = SentRequest::new(request, self.number);
+    pub(crate) fn mark_sent(&self, request: &UpstreamRequest, has_new_connection: bool) {
+        let sent = SentRequest::new(request, self.number, has_new_connection);
         self.sent.replace(Some(sent));
         self.sent_at.set(clock::now());
         self.last_byte_at.set(clock::now());
@@ -451,6 +451,18 @@
         self.outcome = Some(outcome);
     }
 
+    /// Ends a run whose connection broke, and finds out whether the upstream ended with it before the request is sent to
+    /// another one.
+    pub(crate) async fn end_broken(mut self) {
+        let (cx, target) = (self.cx.clone(), self.target.clone());
+        let sent = self.sent.borrow().clone();
+        self.outcome = Some(RunOutcome::Broken);
+        drop(self);
+        if let (Some(sent), Some(target)) = (sent, target) {
+            crash::record_break(&cx, &sent, &target).await;
+        }
+    }
+
     fn with_pool<F>(&self, f: F)
     where
         F: FnOnce(&mut Pool),
@@ -473,14 +485,8 @@
             let tags = [("service", self.service.as_str()), ("outcome", end)];
             self.cx.metrics.count("runs_ended", &tags);
         }
-        match self.outcome {
-            None => self.check_abandoned(),
-            Some(RunOutcome::Broken) => {
-                if let (Some(sent), Some(target)) = (&*self.sent.borrow(), &self.target) {
-                    crash::record(&self.cx, sent, target, "broken");
-                }
-            }
-            Some(_) => {}
+        if self.outcome.is_none() {
+            self.check_abandoned();
         }
         if self.outcome == Some(RunOutcome::Success) {
             pressure::record_completion(&self.cx, &self.service);
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -138,7 +138,7 @@
                     return false;
                 }
                 SegmentEnd::Broken => {
-                    placement.end(RunOutcome::Broken);
+                    placement.end_broken().await;
                     self.log_end("cut_in_stream", &target);
                 }
                 SegmentEnd::Unread => {
@@ -381,7 +381,7 @@
                     self.attempts += 1;
                 }
                 Err(AttemptError::Broken) => {
-                    placement.end(RunOutcome::Broken);
+                    placement.end_broken().await;
                     self.attempts += 1;
                 }
                 Err(AttemptError::TimedOut) => self.attempts += 1,
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -128,7 +128,7 @@
         return Err(UNAVAILABLE);
     }
     let connected = sockets::connect(&target.addr, CONNECT_TIMEOUT).await;
-    upstream_connections::record(cx, service, target.number, connected.is_ok());
+    upstream_connections::record(cx, service, target.number, connected.is_ok()).await;
     connected.map_err(|e| match e.kind() {
         _ if upstream_connections::is_cut_off(cx, service) => UNAVAILABLE,
         io::ErrorKind::ConnectionRefused => REFUSED,
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -14,7 +14,7 @@
 use crate::tunnels;
 
 /// Upstreams to which a host that is cut off tries connections of its own at once.
-const PROBED_UPSTREAMS: usize = 2;
+const PROBED_UPSTREAMS: usize = 4;
 
 /// Opens a connection to an upstream. When it fails, nothing of a request has been sent.
 ///
@@ -24,7 +24,7 @@
 pub(crate) async fn open(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
     if !is_cut_off(cx, &target.service) {
         let opened = connection_pool::open(&target.addr).await;
-        record(cx, &target.service, target.number, opened.is_ok());
+        record(cx, &target.service, target.number, opened.is_ok()).await;
         if opened.is_ok() || !is_cut_off(cx, &target.service) {
             return opened;
         }
@@ -40,23 +40,34 @@
     scheduler.is_some_and(|s| s.reachability.is_cut_off())
 }
 
-/// Records whether a connection of this host's own to an upstream could be opened.
-pub(crate) fn record(cx: &Rc<Context>, service: &str, upstream: u64, is_open: bool) {
+/// Records whether a connection of this host's own to an upstream could be opened. If the host takes itself to be cut off
+/// from now on, it first tries other upstreams: those that could not be reached may just have been down.
+pub(crate) async fn record(cx: &Rc<Context>, service: &str, upstream: u64, is_open: bool) {
     if is_open {
         record_opened(cx, service);
         return;
     }
+    if !record_failed(cx, service, upstream) || try_own(cx, service).await {
+        return;
+    }
+    cx.metrics.count("cut_off", &[("service", service)]);
+    cx.gossip_wakeup.notify_one();
+    tokio::task::spawn_local(probe(cx.clone(), service.to_owned()));
+}
+
+/// Records that an upstream could not be reached, and returns whether the host takes itself to be cut off from now on.
+fn record_failed(cx: &Context, service: &str, upstream: u64) -> bool {
     let now = clock::now();
     let of_service: Vec<String> = {
         let mut state = cx.state.borrow_mut();
         let Some(scheduler) = state.schedulers.get_mut(service) else {
-            return;
+            return false;
         };
         let of_service = scheduler.pool.upstreams().map(|(_, u)| u.listed.id.clone());
         let of_service: Vec<String> = of_service.collect();
         let reachability = &mut scheduler.reachability;
         if !reachability.record_failed(upstream, of_service.len(), now) {
-            return;
+            return false;
         }
         of_service
     };
@@ -64,12 +75,10 @@
         "event=cut_off service={service} upstreams={}",
         of_service.len()
     );
-    cx.metrics.count("cut_off", &[("service", service)]);
     // Idle connections may be as dead as new ones.
     cx.connections
         .remove_unusable(|id| !of_service.iter().any(|listed| listed == id));
-    cx.gossip_wakeup.notify_one();
-    tokio::task::spawn_local(probe(cx.clone(), service.to_owned()));
+    true
 }
 
 fn record_opened(cx: &Context, service: &str) {
@@ -88,22 +97,29 @@
     }
 }
 
-/// Tries connections of this host's own until one can be opened. The first tries come at once: the upstreams that
-/// could not be reached may just have been down.
+/// Tries connections of this host's own until one can be opened.
 async fn probe(cx: Rc<Context>, service: String) {
     while is_cut_off(&cx, &service) {
-        let addrs = addrs_to_probe(&cx, &service);
-        let opens = addrs
-            .iter()
-            .map(|addr| Box::pin(sockets::connect(addr, CONNECT_TIMEOUT)));
-        if addrs.is_empty() || select_ok(opens).await.is_ok() {
-            record_opened(&cx, &service);
+        tokio::time::sleep(PROBE_INTERVAL.into()).await;
+        if try_own(&cx, &service).await {
             return;
         }
-        tokio::time::sleep(PROBE_INTERVAL.into()).await;
     }
 }
 
+/// Tries connections of this host's own to some upstreams. Returns whether the host is no longer cut off.
+async fn try_own(cx: &Rc<Context>, service: &str) -> bool {
+    let addrs = addrs_to_probe(cx, service);
+    let opens = addrs
+        .iter()
+        .map(|addr| Box::pin(sockets::connect(addr, CONNECT_TIMEOUT)));
+    let is_open = addrs.is_empty() || select_ok(opens).await.is_ok();
+    if is_open {
+        record_opened(cx, service);
+    }
+    is_open
+}
+
 fn addrs_to_probe(cx: &Context, service: &str) -> Vec<String> {
     let state = cx.state.borrow();
     let upstreams = state.schedulers.get(service).map(|s| s.pool.upstreams());
