A host that takes itself to be cut off still tries its own connections

Of twelve upstreams most were down, two of them in a row took no connection, and the host took itself to be cut off; the other host did so too, and neither tried the upstreams that were left.

Evidence: store_calls.rs, poison.rs, deadly_part.rs, cut_off.rs, crash_evidence.rs and stored_origins.rs green, each once.

--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -1,6 +1,5 @@
 //! Crashes of upstreams while they run a request, as this host sees them.
 
-use std::io;
 use std::rc::Rc;
 
 use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
@@ -140,16 +139,7 @@
     }
 }
 
-/// Returns whether an upstream accepts no connection. If no host can try one, nothing is known.
+/// Returns whether an upstream accepts no connection, of this host or, while this one is cut off, of another one.
 async fn has_ended(cx: &Rc<Context>, target: &UpstreamTarget) -> bool {
-    let opened = upstream_connections::open(cx, target).await;
-    let Err(e) = opened else {
-        return false;
-    };
-    if e.kind() != io::ErrorKind::HostUnreachable {
-        return true;
-    }
-    // Whether the host is cut off is found out meanwhile.
-    tokio::time::sleep(CONNECT_TIMEOUT).await;
-    !upstream_connections::is_cut_off(cx, &target.service)
+    upstream_connections::open(cx, target).await.is_err()
 }
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -20,17 +20,31 @@
 ///
 /// # Errors
 ///
-/// An error of the kind `ConnectionRefused` only if the upstream refused the connection, as far as this host can know.
+/// The error of the host that tried: this one, or another one while this one is cut off.
 pub(crate) async fn open(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
-    if !is_cut_off(cx, &target.service) {
-        let opened = connection_pool::open(&target.addr).await;
-        record(cx, &target.service, target.number, opened.is_ok()).await;
-        if opened.is_ok() || !is_cut_off(cx, &target.service) {
-            return opened;
+    let was_cut_off = is_cut_off(cx, &target.service);
+    let own = match was_cut_off {
+        true => Err(io::ErrorKind::HostUnreachable.into()),
+        false => open_own(cx, target).await,
+    };
+    if own.is_ok() || !is_cut_off(cx, &target.service) {
+        return own;
+    }
+    match tunnels::open(cx, target).await {
+        Ok(stream) => connection_pool::open_on(stream).await,
+        // No other host could try: upstreams that are down may have passed for a cut.
+        Err(e) if e.kind() == io::ErrorKind::HostUnreachable && was_cut_off => {
+            open_own(cx, target).await
         }
+        Err(e) if e.kind() == io::ErrorKind::HostUnreachable => own,
+        Err(e) => Err(e),
     }
-    let stream = tunnels::open(cx, target).await?;
-    connection_pool::open_on(stream).await
+}
+
+async fn open_own(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
+    let opened = connection_pool::open(&target.addr).await;
+    record(cx, &target.service, target.number, opened.is_ok()).await;
+    opened
 }
 
 /// Returns whether this host is cut off from the upstreams of a service.
