Do not blame a request for an upstream that goes on after a break

Callers of a look-up (same path, organisation and body) or of any request that came again were refused as barred, for as long as they came, after three answers in a row that an upstream cut, garbled or preceded by a late copy of an earlier one, although no upstream had ended.

Now only a connection that is closed before any byte of a response blames the request at once, which tests of the earlier promise require. A reset before a response, an end within it, and bytes that are not the response count if the upstream then takes no connection. Log line: break_not_blamed names how it broke.

Stand-in: a process that ends refuses connections before those that are open are closed; a connection limit; connections that are forgotten while they rest.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::clock;
 use crate::connection_pool::Connection;
-use crate::crash::{self, UsedConnection};
+use crate::crash::{self, Break, UsedConnection};
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
 use crate::read_limit::CountedBody;
@@ -150,7 +150,7 @@
     /// The upstream states that it did not run the request.
     NotRun { status: u16 },
     /// The connection broke or the response was invalid; the upstream may have run the request.
-    Broken,
+    Broken(Break),
     /// The upstream sent no response head for much longer than forecast.
     TimedOut,
 }
@@ -241,7 +241,7 @@
         if e.error().is_parse() {
             placement.record.mark_invalid();
         }
-        AttemptError::Broken
+        AttemptError::Broken(Break::of(e.error(), &connection.counter))
     })?;
     if !connection.is_tunnelled {
         upstream_connections::record_answered(cx, &target.service);
@@ -253,7 +253,7 @@
             target.id
         );
         placement.record.mark_invalid();
-        return Err(AttemptError::Broken);
+        return Err(AttemptError::Broken(Break::InResponse));
     }
     check_response(
         &cx.names, request, target, options, res, connection, placement,
@@ -395,7 +395,7 @@
             head.status.as_u16()
         );
         placement.record.mark_invalid();
-        return Err(AttemptError::Broken);
+        return Err(AttemptError::Broken(Break::InResponse));
     }
     let body = CountedBody::new(body, &connection.counter);
     statements::read(&head, names, placement);
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -1,5 +1,7 @@
 //! Crashes of upstreams while they run a request, as this host sees them.
 
+use std::error::Error;
+use std::io;
 use std::rc::Rc;
 
 use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
@@ -8,6 +10,7 @@
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::connection_pool::CONNECT_TIMEOUT;
+use crate::read_limit::ReadCounter;
 use crate::state::Context;
 use crate::upstream_connections;
 
@@ -37,6 +40,44 @@
     pub(crate) is_own: bool,
 }
 
+/// How a connection broke over which a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Break {
+    /// It was closed before any byte of a response, as when the process ends that has read the request.
+    Closed,
+    /// It was reset before any byte of a response, as beyond the upstream's connection limit.
+    Reset,
+    /// It ended within a response, or carried bytes that are not the response to the request.
+    InResponse,
+}
+
+impl Break {
+    /// Returns how a connection broke that failed before the whole head of the response was read.
+    pub(crate) fn of(e: &hyper::Error, counter: &ReadCounter) -> Break {
+        if e.is_parse() || counter.has_read() {
+            return Break::InResponse;
+        }
+        let source = e.source().and_then(|s| s.downcast_ref::<io::Error>());
+        match source.map(io::Error::kind) {
+            Some(
+                io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+                | io::ErrorKind::BrokenPipe,
+            ) => Break::Reset,
+            _ => Break::Closed,
+        }
+    }
+
+    /// Returns the name in log lines.
+    fn label(self) -> &'static str {
+        match self {
+            Break::Closed => "closed",
+            Break::Reset => "reset",
+            Break::InResponse => "in_response",
+        }
+    }
+}
+
 impl SentRequest {
     /// Creates the record of a request that is sent to the upstream with this number now.
     pub(crate) fn new(
@@ -121,9 +162,14 @@
 }
 
 /// Records the crash that a broken connection may be. The request itself is blamed at once if the connection was opened
-/// for it. Otherwise, and for the parts of its prompt, which many requests share, the upstream must have ended. A host that
-/// reaches no upstream sees breaks that are no crashes.
-pub(crate) async fn record_break(cx: &Rc<Context>, sent: &SentRequest, target: &UpstreamTarget) {
+/// for it and closed without a byte of a response. Otherwise, and for the parts of its prompt, which many requests share,
+/// the upstream must have ended. A host that reaches no upstream sees breaks that are no crashes.
+pub(crate) async fn record_break(
+    cx: &Rc<Context>,
+    sent: &SentRequest,
+    target: &UpstreamTarget,
+    how: Break,
+) {
     let is_own = sent.connection.is_own;
     if is_own && !upstream_connections::may_blame(cx, target, sent.sent_at).await {
         log::info!(
@@ -134,7 +180,7 @@
         return;
     }
     let is_request = |cause: &Cause| matches!(cause, Cause::Request(_));
-    let doubted = match sent.connection.is_new {
+    let doubted = match sent.connection.is_new && how == Break::Closed {
         true => {
             record(cx, &sent.with_causes(is_request), target, "broken");
             sent.with_causes(|cause| !is_request(cause))
@@ -153,6 +199,13 @@
     let mut check = tokio::task::spawn_local(async move {
         if has_ended(&cx, &target).await && !doubted.causes.is_empty() {
             record(&cx, &doubted, &target, "broken");
+        } else if !doubted.causes.is_empty() {
+            log::info!(
+                "event=break_not_blamed request={} upstream={} how={} reason=\"the upstream takes connections\"",
+                doubted.request_id,
+                target.id,
+                how.label()
+            );
         }
     });
     // An upstream that ended refuses at once; what takes longer must not hold the request up.
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -21,6 +21,7 @@
 use crate::buffered::{self, CollectError};
 use crate::caller_body::CallerBody;
 use crate::clock;
+use crate::crash::Break;
 use crate::metrics::{CountedRequest, RequestLabels};
 use crate::placement::Placement;
 use crate::refusal::Refusal;
@@ -239,8 +240,8 @@
                     RunOutcome::Unreachable
                 });
             }
-            Err(AttemptError::Broken) => {
-                placement.end_broken().await;
+            Err(AttemptError::Broken(how)) => {
+                placement.end_broken(how).await;
                 admitted.attempts += 1;
             }
             Err(AttemptError::TimedOut) => admitted.attempts += 1,
@@ -386,7 +387,7 @@
             );
             // The upstream is not at fault if this host could not read on.
             if !matches!(e, CollectError::NoMemory) {
-                placement.end_broken().await;
+                placement.end_broken(Break::InResponse).await;
             }
             return Err(());
         }
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -17,7 +17,7 @@
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
-use crate::crash::{self, SentRequest, UsedConnection};
+use crate::crash::{self, Break, SentRequest, UsedConnection};
 use crate::limit_reports;
 use crate::notice_reports;
 use crate::pressure;
@@ -515,13 +515,13 @@
 
     /// Ends a run whose connection broke, and finds out whether the upstream ended with it before the request is sent to
     /// another one.
-    pub(crate) async fn end_broken(mut self) {
+    pub(crate) async fn end_broken(mut self, how: Break) {
         let (cx, target) = (self.cx.clone(), self.target.clone());
         let sent = self.sent.borrow().clone();
         self.outcome = Some(RunOutcome::Broken);
         drop(self);
         if let (Some(sent), Some(target)) = (sent, target) {
-            crash::record_break(&cx, &sent, &target).await;
+            crash::record_break(&cx, &sent, &target, how).await;
         }
     }
 
--- a/stoatjunction_entry/src/read_limit.rs
+++ b/stoatjunction_entry/src/read_limit.rs
@@ -28,6 +28,11 @@
     pub(crate) fn reset(&self) {
         self.0.store(0, Ordering::Relaxed);
     }
+
+    /// Returns whether anything was read since the last progress.
+    pub(crate) fn has_read(&self) -> bool {
+        self.0.load(Ordering::Relaxed) > 0
+    }
 }
 
 /// A connection whose reads are limited.
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -16,6 +16,7 @@
     self, AttemptError, AttemptOptions, BodyEnd, UpstreamRequest, UpstreamResponse, UpstreamTarget,
 };
 use crate::clock;
+use crate::crash::Break;
 use crate::event_filter::EventFilter;
 use crate::metrics::RequestLabels;
 use crate::placement::Placement;
@@ -143,7 +144,7 @@
                     return false;
                 }
                 SegmentEnd::Broken => {
-                    placement.end_broken().await;
+                    placement.end_broken(Break::InResponse).await;
                     self.log_end("cut_in_stream", &target, body_end);
                 }
                 SegmentEnd::Unconfirmed => {
@@ -421,8 +422,8 @@
                     placement.end(RunOutcome::Shed);
                     self.attempts += 1;
                 }
-                Err(AttemptError::Broken) => {
-                    placement.end_broken().await;
+                Err(AttemptError::Broken(how)) => {
+                    placement.end_broken(how).await;
                     self.attempts += 1;
                 }
                 Err(AttemptError::TimedOut) => self.attempts += 1,
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -169,6 +170,12 @@
     report_mode: ReportMode,
     /// Number of requests for its report.
     reports: usize,
+    /// Connections beyond this number are reset.
+    connection_limit: Option<usize>,
+    /// Rest of a connection after which whatever comes next on it is reset.
+    max_rest: Option<Duration>,
+    /// Number of connections that were reset for either reason.
+    resets: usize,
     /// Time that each request takes before its reply.
     work_time: Duration,
     /// Requests being handled.
@@ -238,7 +245,8 @@
             };
             let Ok(ended) = ended else { return };
             if ended == Status::Down {
-                drop((connections, listener));
+                // A process that ends refuses connections before its open ones are closed.
+                drop((listener, connections));
                 let _sender_is_held = status.wait_for(|s| *s == Status::Up).await;
             } else {
                 let _filling = crash::stop_accepting(&listener).await;
@@ -255,9 +263,14 @@
     async fn accept(&self, listener: &TcpListener, connections: &mut JoinSet<()>) {
         while let Ok((stream, _)) = listener.accept().await {
             while connections.try_join_next().is_some() {}
+            if self.is_at_limit() {
+                self.reset(&stream);
+                continue;
+            }
             let upstream = self.clone();
+            let open = OpenConnection::new(&upstream.state);
             connections.spawn(async move {
-                let _open = OpenConnection::new(&upstream.state);
+                let _open = open;
                 let mut status = upstream.status.subscribe();
                 let (mut stream, mut buf) = (stream, Vec::new());
                 let went_dark = tokio::select! {
@@ -366,6 +379,42 @@
         };
     }
 
+    /// Resets connections beyond this number from now on, or none.
+    pub fn set_connection_limit(&self, limit: Option<usize>) {
+        self.lock().connection_limit = limit;
+    }
+
+    /// Forgets connections that rest for longer from now on, and resets them when something comes; or forgets none.
+    pub fn set_max_rest(&self, max_rest: Option<Duration>) {
+        self.lock().max_rest = max_rest;
+    }
+
+    /// Returns the number of connections that were reset beyond the limit or after a rest.
+    pub fn reset_count(&self) -> usize {
+        self.lock().resets
+    }
+
+    fn is_at_limit(&self) -> bool {
+        let state = self.lock();
+        state.connection_limit.is_some_and(|max| state.open >= max)
+    }
+
+    /// Has a connection reset when it is dropped.
+    fn reset(&self, stream: &TcpStream) {
+        self.lock().resets += 1;
+        if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+            log::warn!("event=connection_not_reset reason={e}");
+        }
+    }
+
+    /// Waits for the next bytes on a connection, and returns whether the upstream has forgotten it meanwhile.
+    async fn is_forgotten(&self, stream: &TcpStream) -> io::Result<bool> {
+        let rests_since = Instant::now();
+        let bytes = stream.peek(&mut [0]).await?;
+        let max_rest = self.lock().max_rest;
+        Ok(bytes > 0 && max_rest.is_some_and(|max| rests_since.elapsed() > max))
+    }
+
     /// Returns when each request arrived, the oldest first.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.lock().arrivals.clone()
@@ -413,7 +462,18 @@
 
     async fn serve(&self, stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<()> {
         let mut late_copy = Vec::new();
-        while let Some(mut req) = read_request(stream, buf).await? {
+        let mut is_used = false;
+        loop {
+            if std::mem::replace(&mut is_used, true)
+                && buf.is_empty()
+                && self.is_forgotten(stream).await?
+            {
+                self.reset(stream);
+                return Ok(());
+            }
+            let Some(mut req) = read_request(stream, buf).await? else {
+                return Ok(());
+            };
             stream.write_all(&std::mem::take(&mut late_copy)).await?;
             if req.line.split(' ').nth(1) == Some(REPORT_PATH) {
                 self.report(stream).await?;
@@ -453,7 +513,6 @@
                 return Ok(());
             }
         }
-        Ok(())
     }
 
     /// Replies to a request for the report.
