Answer the requests that are left when the grace period ends

In a planned stop, whatever was left at the end of the grace period was cut off without a byte: requests whose body was still being read, that waited for a slot, that an upstream had not answered, or had answered in part to this host only; among them requests that may run once.

Cause: at the end the process just ended. A request that had waited until then was also sent on shortly before, so that it ran and was cut.

Now each request that nothing of a response was sent to is answered 500 ms before the end: 503, not run, if it was not sent on; 504 (code 3005, stopped), unknown, if it was. One that may outlast the end and still waits is refused at half of that time, so that it runs whole on another host. Short grace periods leave time for the answers too: connections were accepted for 3 s, however long the grace period was. Streams whose events the caller has in part are broken off as before and do not look complete.

--- a/stoatjunction_core/src/code.rs
+++ b/stoatjunction_core/src/code.rs
@@ -159,6 +159,8 @@
     Late = 3003, "late", 504, Ran, Later;
     /// The request crashed two upstreams and is not run again.
     Quarantined = 3004, "quarantined", 422, NotRun, Never;
+    /// The host stopped while the request was running.
+    Stopped = 3005, "stopped", 504, Unknown, Later;
     /// Another request with the same idempotency key is running.
     InProgress = 4001, "in-progress", 409, Unknown, AskAgain;
     /// An earlier request with the key may or may not have taken effect; an operator has to resolve
--- a/stoatjunction_core/tests/entry_shutdown.rs
+++ b/stoatjunction_core/tests/entry_shutdown.rs
@@ -31,3 +31,28 @@
 
     assert_eq!(takes, taken);
 }
+
+#[parameterized(
+    usual = { 8_000, 2_800, 3_000, 3_750, 7_500 },
+    short = { 3_000, 1_500, 1_500, 1_500, 2_500 },
+    shorter_than_the_balancer_takes = { 1_000, 300, 300, 300, 500 },
+)]
+fn a_stopping_host_leaves_time_for_answers_before_it_is_killed(
+    grace_ms: u64,
+    takes_until: u64,
+    accepts_until: u64,
+    sends_until: u64,
+    aborts_at: u64,
+) {
+    let shutdown = Shutdown::new(SIGNAL, Span::from_millis(grace_ms));
+
+    let long = after(20_000);
+    assert!(shutdown.takes(long, after(takes_until - 1)));
+    assert!(!shutdown.takes(long, after(takes_until)));
+    assert_eq!(shutdown.accepts_until(), after(accepts_until));
+    assert_eq!(shutdown.sends_until(long), Some(after(sends_until)));
+    assert_eq!(shutdown.sends_until(after(aborts_at)), None);
+    assert_eq!(shutdown.aborts_at, after(aborts_at));
+    assert!(shutdown.ends_at() > shutdown.aborts_at);
+    assert!(shutdown.ends_at() < after(grace_ms));
+}
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -43,8 +43,6 @@
 pub(crate) const MAX_LATE_WAIT: Span = Span::from_millis(250);
 /// Retry-after of a request under which upstreams crash.
 pub(crate) const BARRED_RETRY_AFTER: Span = Span::from_millis(10_000);
-/// Retry-after of a request that comes to a stopping host; the other hosts take it at once.
-const STOPPING_RETRY_AFTER: Span = Span::from_millis(50);
 /// Fraction of the target latency for which a request waits once it can no longer meet it.
 const LATE_WAIT_FRACTION: f64 = 0.25;
 /// Fraction of the target latency that placement plans with; the rest covers the network to the
@@ -150,7 +148,7 @@
         if version.is_some() { Span::ZERO } else { spent }
     };
     let deadline = arrived + timeout;
-    check_shutdown(cx, deadline)?;
+    cx.stopping.check(deadline)?;
     let placement_request = PlacementRequest {
         version,
         tokens: held_tokens,
@@ -220,18 +218,6 @@
     );
 }
 
-/// Checks that this host, if it stops, does not have to abort the request.
-pub(crate) fn check_shutdown(cx: &Context, deadline: Time) -> Result<(), Refusal> {
-    let shutdown = cx.state.borrow().shutdown;
-    match shutdown.is_none_or(|s| s.takes(deadline, clock::now())) {
-        true => Ok(()),
-        false => Err(Refusal::with_retry_after(
-            Code::Stopping,
-            STOPPING_RETRY_AFTER,
-        )),
-    }
-}
-
 /// Checks the organisation's rate limit and whether the request is barred since upstreams crash under it.
 fn check_limits(cx: &Rc<Context>, admitted: &AdmittedRequest) -> Result<LimitStatus, Refusal> {
     let now = clock::now();
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -5,7 +5,6 @@
 
 use miette::{IntoDiagnostic, WrapErr};
 use stoatjunction_core::entry::shutdown::Shutdown;
-use stoatjunction_core::time::Span;
 use stoatjunction_net::daemon::ShutdownOutcome;
 use stoatjunction_net::stop::{self, Stop, StopRx};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -28,11 +27,6 @@
 use crate::stored_origins;
 use crate::tunnel_server;
 
-/// Time after SIGTERM in which new connections are still accepted: the load balancer needs two
-/// health checks, a second apart, to notice.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
-/// Time before the end of the grace period at which remaining requests are aborted.
-const ABORT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval for rereading the settings.
 const SETTINGS_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval for checking for requests in progress during shutdown.
@@ -172,14 +166,10 @@
     }
 }
 
-/// Waits for the load balancer to notice, then finishes requests in progress.
+/// Waits for the load balancer to notice, then finishes requests in progress, and answers in time those that are left.
 async fn shut_down(cx: &Context, phase: &watch::Sender<Phase>) -> ShutdownOutcome {
-    let began_at = clock::now();
-    let aborts_at = began_at + Span::from(cx.settings.grace.saturating_sub(ABORT_MARGIN));
-    cx.state.borrow_mut().shutdown = Some(Shutdown {
-        began_at,
-        aborts_at,
-    });
+    let shutdown = Shutdown::new(clock::now(), cx.settings.grace.into());
+    cx.stopping.begin(shutdown);
     let set = |p: Phase| {
         cx.state.borrow_mut().phase = p;
         let _nobody_may_listen = phase.send(p);
@@ -189,11 +179,11 @@
         "event=shutdown_started in_progress={}",
         cx.in_progress.get()
     );
-    tokio::time::sleep(ACCEPT_AFTER_STOP).await;
+    tokio::time::sleep_until(clock::instant(shutdown.accepts_until())).await;
     set(Phase::Closing);
     // Responses whose upstreams have ended are held until their callers have taken them.
     while cx.in_progress.get() > 0 || cx.discards.get() > 0 || cx.memory.held() > 0 {
-        if clock::now() >= aborts_at {
+        if clock::now() >= shutdown.ends_at() {
             if cx.in_progress.get() == 0 && cx.memory.held() == 0 {
                 break;
             }
--- a/stoatjunction_entry/src/explain_placement.rs
+++ b/stoatjunction_entry/src/explain_placement.rs
@@ -342,7 +342,7 @@
         limit: Option<&RateLimit>,
     ) -> Result<(), Refusal> {
         admission::check_memory(cx, service, self.query.tokens)?;
-        admission::check_shutdown(cx, self.deadline)?;
+        cx.stopping.check(self.deadline)?;
         let causes = admission::shared_parts(&self.query.prompt);
         if state.crash_causes.is_barred(&causes) {
             return Err(Refusal::with_retry_after(Code::Barred, BARRED_RETRY_AFTER));
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::refusal::Refusal;
 use crate::start_reports;
 use crate::state::{Context, InProgress};
+use crate::stopping;
 use crate::stream::{MAX_UNREACHABLE, StreamForwarder};
 use crate::stream_buffer;
 use crate::stream_origins;
@@ -100,7 +101,10 @@
             NOT_READY_RETRY_AFTER,
         ));
     };
-    let admitted = admit_request(cx, &routes, req, arrived).await?;
+    let admitted = tokio::select! {
+        admitted = admit_request(cx, &routes, req, arrived) => admitted?,
+        () = cx.stopping.aborts() => return Err(stopping::refusal()),
+    };
     *labels = admitted.labels.clone();
     let progress = Progress::default();
     let timeout = tokio::time::sleep_until(clock::instant(admitted.deadline));
@@ -109,6 +113,7 @@
     let result = tokio::select! {
         result = forward(cx, admitted, &progress) => result,
         () = timeout => Err(too_late(&progress)),
+        () = cx.stopping.aborts() => Err(stopped(&progress)),
     };
     if result.is_err()
         && !progress.sent.get()
@@ -127,6 +132,13 @@
     Refusal::with_retry_after(Code::NotBegun, Span::from_millis(1_000))
 }
 
+fn stopped(progress: &Progress) -> Refusal {
+    if progress.may_have_run.get() {
+        return Refusal::new(Code::Stopped);
+    }
+    stopping::refusal()
+}
+
 /// Bounds the retry-after by the caller's remaining time and adds jitter.
 fn bound_retry_after(refusal: Refusal, deadline: Time) -> Refusal {
     let Some(retry_after) = refusal.retry_after else {
@@ -158,9 +170,13 @@
     let mut error: Option<Response<Body>> = None;
     loop {
         let queued_at = clock::now();
-        let placed = cx
-            .place(&admitted.service, admitted.placement_request.clone())
-            .await;
+        let placed = cx.place(&admitted.service, admitted.placement_request.clone());
+        let placed = tokio::select! {
+            placed = placed => placed,
+            () = cx.stopping.ends_sending(admitted.deadline), if !progress.sent.get() => {
+                return Err(stopping::refusal());
+            }
+        };
         let waited = clock::now().since(queued_at);
         cx.metrics
             .record_duration("queue", admitted.labels.kind, waited);
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod start_trace;
 pub mod state;
 mod statements;
+mod stopping;
 pub mod store_watch;
 mod stored_origins;
 mod stream;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -20,7 +20,6 @@
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
 use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
 use stoatjunction_core::entry::route_table::RouteTable;
-use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::snapshot_transfers::SnapshotTransfers;
 use stoatjunction_core::entry::start_trace::StartTrace;
@@ -45,6 +44,7 @@
 use crate::rollouts::{self, Rollouts};
 use crate::settings::EntrySettings;
 use crate::start_reports::StartChecks;
+use crate::stopping::Stopping;
 use crate::stored_origins::{OriginReads, StoredVersions};
 use crate::stream_origins::OpenQueries;
 use crate::tunnels::Tunnels;
@@ -120,8 +120,6 @@
 #[derive(Debug)]
 pub(crate) struct SharedState {
     pub(crate) phase: Phase,
-    /// The stop of this host, from the signal on.
-    pub(crate) shutdown: Option<Shutdown>,
     pub(crate) routes: Option<Rc<RouteTable>>,
     /// Time at which the current configuration came into force here.
     pub(crate) configured_at: Time,
@@ -206,6 +204,7 @@
     pub(crate) origin_reads: OriginReads,
     /// Wakes the task that evaluates rollouts, when an order is new or has changed.
     pub(crate) rollout_wakeup: Notify,
+    pub(crate) stopping: Stopping,
     pub(crate) in_progress: Cell<usize>,
     /// Bodies that are read and discarded after their requests were answered.
     pub(crate) discards: Cell<usize>,
@@ -227,7 +226,6 @@
         let boot = fastrand::u64(..);
         let mut state = SharedState {
             phase: Phase::Serving,
-            shutdown: None,
             routes: None,
             configured_at: now,
             upstream_list: UpstreamList::default(),
@@ -281,6 +279,7 @@
             origin_wakeup: Notify::new(),
             origin_reads: OriginReads::default(),
             rollout_wakeup: Notify::new(),
+            stopping: Stopping::default(),
             in_progress: Cell::new(0),
             discards: Cell::new(0),
             memory,
