End a wrong blame by one probe over all hosts

Now, 60 s after the last crash, one copy is sent to one upstream by one host, the one that replaces the revision of an object of the store that it has read. A whole response ends the bar everywhere. Otherwise the next ones may follow 120 and 240 s later, three in all, as many sendings as the users allow after the third crash. Without the store none is sent.

--- a/stoatjunction_core/src/code.rs
+++ b/stoatjunction_core/src/code.rs
@@ -142,8 +142,8 @@
     OverLimit = 2009, "over-limit", 429, NotRun, Later;
     /// The route's timeout passed before the request was sent to an upstream.
     NotBegun = 2010, "not-begun", 503, NotRun, Later;
-    /// Three upstreams failed while running the request; it is blocked until it has not come for ten
-    /// minutes.
+    /// Three upstreams failed while running the request; it is blocked until a probe ends well, or it has
+    /// not come for ten minutes.
     Barred = 2011, "barred", 503, NotRun, Later;
     /// Every upstream that received the request reported that it did not run it.
     Declined = 2012, "declined", 503, NotRun, Later;
--- a/stoatjunction_core/src/entry/crash_causes.rs
+++ b/stoatjunction_core/src/entry/crash_causes.rs
@@ -11,6 +11,7 @@
 use super::crash::{Cause, Crash, CrashReport, CrashedRun, ReportedCrash};
 use super::crash_batches::CrashBatches;
 use super::crash_explanation::{BLAMED_CRASHES, Explanation, PartCrash, PartCrashes};
+use super::crash_probes::PROBE_INTERVAL;
 use crate::time::{Span, Time};
 
 /// Number of crashes after which a request is no longer sent.
@@ -59,6 +60,8 @@
     crashes: Vec<KnownCrash>,
     cleared_at: Option<Time>,
     refused_at: Option<Time>,
+    /// Time before which this host asks for no probe.
+    no_probe_before: Time,
     /// True while another host still counts crashes that this one knows to be refuted.
     is_disputed: bool,
 }
@@ -218,6 +221,39 @@
         of_request.into_iter().chain(of_parts).collect()
     }
 
+    /// Returns those of a request's causes that bar it, if a probe may be due for all of them; otherwise none. `delay`
+    /// keeps hosts from asking for one at the same time.
+    pub fn probes_due(&self, causes: &[Cause], delay: Span, now: Time) -> Vec<Cause> {
+        let barring = self.barring(causes);
+        let is_due = |cause: &Cause| {
+            let Some(record) = self.records.get(cause) else {
+                return false;
+            };
+            let last = record.crashes.iter().map(|c| c.at).max();
+            let is_calm = last.is_none_or(|at| now.since(at) >= PROBE_INTERVAL + delay);
+            is_calm && now >= record.no_probe_before
+        };
+        match barring.iter().all(is_due) {
+            true => barring,
+            false => Vec::new(),
+        }
+    }
+
+    /// Records that this host asks for no probe of these causes before a time.
+    pub fn postpone_probes(&mut self, causes: &[Cause], until: Time) {
+        for cause in causes {
+            if let Some(record) = self.records.get_mut(cause) {
+                record.no_probe_before = until;
+            }
+        }
+    }
+
+    /// Returns whether a request with a cause has run to its end at or after a time.
+    pub fn is_refuted_since(&self, cause: Cause, time: Time) -> bool {
+        let record = self.records.get(&cause);
+        record.is_some_and(|r| r.cleared_at.is_some_and(|at| at >= time))
+    }
+
     /// Returns the number of requests, and of groups of parts of prompts, that must not be sent again.
     pub fn barred_count(&self) -> usize {
         let requests = self.records.keys();
--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod crash_batches;
 pub mod crash_causes;
 pub mod crash_explanation;
+pub mod crash_probes;
 pub mod decaying_rate;
 pub mod explanation;
 pub mod first_list;
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of requests: route, organisation, body, rate limit and requirements for placement.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use crate::attempt::UpstreamRequest;
 use crate::caller_body::CallerBody;
 use crate::clock;
+use crate::crash_probes;
 use crate::event_filter::EventFilter;
 use crate::header_names::HeaderNames;
 use crate::held_body;
@@ -96,7 +98,15 @@
     let body = read.map_err(|_| Refusal::new(Code::BodyLate))??;
     let (route, organisation) = (route.clone(), organisation.cloned());
     let version = stream_origins::resolve(cx, &route, &head.headers).await?;
-    build_request(cx, &head, body, route, organisation, version, arrived)
+    let mut admitted = build_request(cx, &head, body, route, organisation, version, arrived)?;
+    let request = &admitted.request;
+    let is_probe = crash_probes::acquire(cx, &request.causes, request.id_for_log()).await;
+    request.is_probe.set(is_probe);
+    if check_limits(cx, &admitted)? == LimitStatus::Beyond {
+        let deadline = admitted.deadline;
+        mark_beyond_limit(&mut admitted.placement_request, arrived, deadline);
+    }
+    Ok(admitted)
 }
 
 /// Returns the refusal of a request without a route or without access to it.
@@ -168,8 +178,9 @@
         body,
         id: head.headers.get(&names.request_id).cloned(),
         causes,
+        is_probe: Cell::new(false),
     };
-    let mut admitted = AdmittedRequest {
+    let admitted = AdmittedRequest {
         request,
         service,
         organisation: organisation_id,
@@ -187,9 +198,6 @@
         route,
     };
     log_resumption(names, head, &admitted);
-    if check_limits(cx, &admitted)? == LimitStatus::Beyond {
-        mark_beyond_limit(&mut admitted.placement_request, arrived, deadline);
-    }
     Ok(admitted)
 }
 
@@ -224,7 +232,9 @@
     let mut state = cx.state.borrow_mut();
     let causes = &admitted.request.causes;
     let barring = state.crash_causes.barring(causes);
-    if let Some(first) = barring.first() {
+    if let Some(first) = barring.first()
+        && !admitted.request.is_probe.get()
+    {
         state.crash_causes.record_refusal(causes, now);
         let names: Vec<String> = barring.iter().map(Cause::to_string).collect();
         log::info!(
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to an upstream, up to the head of the response.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 
@@ -38,6 +39,8 @@
     /// What upstreams may crash under: the request itself, the same when it comes again at any host, and the
     /// parts of its prompt.
     pub(crate) causes: Rc<[Cause]>,
+    /// True until it is sent, if it may be sent once although it is barred.
+    pub(crate) is_probe: Cell<bool>,
 }
 
 impl UpstreamRequest {
@@ -277,7 +280,8 @@
 /// since crashes may have become known while the request waited.
 fn is_barred(cx: &Context, request: &UpstreamRequest, target: &UpstreamTarget) -> bool {
     let state = cx.state.borrow();
-    let is_barred = state.crash_causes.is_barred(&request.causes);
+    let is_probe = request.is_probe.take();
+    let is_barred = !is_probe && state.crash_causes.is_barred(&request.causes);
     for cause in &*request.causes {
         let crashes = state.crash_causes.crash_count(*cause);
         if crashes > 0 {
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::task::LocalSet;
 
 use crate::clock;
+use crate::crash_probes;
 use crate::crash_writer;
 use crate::gossip;
 use crate::header_names::HeaderNames;
@@ -104,6 +105,7 @@
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
     spawn(Box::pin(crash_writer::run(cx.clone(), store.clone())));
+    spawn(Box::pin(crash_probes::run(cx.clone(), store.clone())));
     spawn(Box::pin(stored_origins::write(cx.clone(), store.clone())));
     spawn(Box::pin(stored_origins::read(cx.clone(), store.clone())));
     for topic in [Topic::Configuration, Topic::Upstreams, Topic::Crashes] {
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 mod connection_pool;
 mod crash;
+mod crash_probes;
 mod crash_reports;
 mod crash_watch;
 mod crash_writer;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -35,6 +35,7 @@
 use crate::capacity_reports;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
+use crate::crash_probes::ProbeRequests;
 use crate::header_names::HeaderNames;
 use crate::heartbeat::UpstreamLoad;
 use crate::host_protocols::HeardProtocols;
@@ -198,6 +199,8 @@
     pub(crate) queue_wakeup: Notify,
     /// Wakes the task that stores crashes.
     pub(crate) crash_wakeup: Notify,
+    /// Requests that wait to be sent although they are barred.
+    pub(crate) probes: ProbeRequests,
     /// Wakes the task that stores where streams began.
     pub(crate) origin_wakeup: Notify,
     /// Reads of where streams began from the store.
@@ -276,6 +279,7 @@
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
+            probes: ProbeRequests::default(),
             origin_wakeup: Notify::new(),
             origin_reads: OriginReads::default(),
             rollout_wakeup: Notify::new(),
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::crash::{Crash, CrashedRun};
+use stoatjunction_core::entry::crash_probes::ProbeRecord;
 use stoatjunction_core::entry::follower_election::Role;
 use stoatjunction_core::entry::propagation::{PropagationTimes, ROLE_CHECK_INTERVAL};
 use stoatjunction_core::entry::rollout::{Progress, RolloutOrder, RolloutState};
@@ -197,6 +198,15 @@
     pub age: Span,
 }
 
+/// The probes of barred requests that hosts were granted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredProbes {
+    /// The latest of each cause.
+    pub records: Vec<ProbeRecord>,
+    /// Revision of the object that holds them, if there is one.
+    pub revision: Option<u64>,
+}
+
 /// The changes up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
@@ -250,6 +260,17 @@
     /// Removes a crash. Succeeds if it is not there.
     fn remove_crash(&self, crash: Crash) -> impl Future<Output = Result<(), StoreError>>;
 
+    /// Returns the probes of barred requests.
+    fn read_probes(&self) -> impl Future<Output = Result<StoredProbes, StoreError>>;
+
+    /// Replaces the probes of barred requests at this revision; without one, there were none. Returns false if another
+    /// host has written them since.
+    fn write_probes(
+        &self,
+        records: &[ProbeRecord],
+        replaces: Option<u64>,
+    ) -> impl Future<Output = Result<bool, StoreError>>;
+
     /// Returns where streams began, as far as hosts have written it.
     fn list_origins(&self) -> impl Future<Output = Result<Vec<StoredOrigins>, StoreError>>;
 
