Forward streams whose lines end by a carriage return only

Callers of an upstream whose event stream ends its lines by carriage returns, which the standard allows, got no event, and the stream was broken off as truncated at its end.

Cause: the filter looked for line feeds only. Now a line ends by a line feed, a carriage return, or both; an event is forwarded with the carriage return of its blank line, and a line feed that comes later goes with what follows.

--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -150,34 +150,44 @@
     }
 }
 
-/// Returns the length of the first complete event, including the blank line that ends it.
+/// Returns the length of the first complete event, including the blank line that ends it. Lines end by a line feed, a
+/// carriage return, or both. A line feed that arrives after the carriage return of the blank line belongs to what follows.
 fn first_event_length(buf: &[u8]) -> Option<usize> {
     let mut line_start = 0;
-    while let Some(length) = buf[line_start..].iter().position(|b| *b == b'\n') {
-        let next = line_start + length + 1;
-        match buf.get(next) {
-            Some(b'\n') => return Some(next + 1),
-            Some(b'\r') if buf.get(next + 1) == Some(&b'\n') => return Some(next + 2),
-            _ => line_start = next,
+    while let Some(length) = buf[line_start..].iter().position(|b| is_line_end(*b)) {
+        let line_end = line_start + length;
+        let next = line_end + line_end_length(&buf[line_end..]);
+        if buf.get(next).is_some_and(|b| is_line_end(*b)) {
+            return Some(next + line_end_length(&buf[next..]));
         }
+        line_start = next;
     }
     None
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+/// Returns the length of the end of a line with which the text begins.
+fn line_end_length(text: &[u8]) -> usize {
+    if text.starts_with(b"\r\n") { 2 } else { 1 }
+}
+
 /// Returns whether an event holds nothing for its reader: comments, or the time after which a reader comes back.
 fn is_comment(event: &[u8]) -> bool {
-    let mut lines = event.split(|b| *b == b'\n');
+    let mut lines = event.split(|b| is_line_end(*b));
     lines.all(|l| has_no_fields(l) || l.starts_with(b"retry:"))
 }
 
 /// Returns whether text has blank lines and comments only.
 fn has_no_fields(text: &[u8]) -> bool {
-    let mut lines = text.split(|b| *b == b'\n');
-    lines.all(|l| l.starts_with(b":") || l.is_empty() || l == b"\r")
+    let mut lines = text.split(|b| is_line_end(*b));
+    lines.all(|l| l.starts_with(b":") || l.is_empty())
 }
 
 fn parse_event_id(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|b| *b == b'\n');
+    let lines = event.split(|b| is_line_end(*b));
     let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next()?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/stoatjunction_entry/tests/event_filter.rs
+++ b/stoatjunction_entry/tests/event_filter.rs
@@ -73,6 +73,7 @@
 #[parameterized(
     plain = { "id: 1\ndata: a\n\n" },
     carriage_returns_and_line_feeds = { "id: 1\r\ndata: a\r\n\r\n" },
+    carriage_returns = { "id: 1\rdata: a\r\r" },
     byte_order_mark_after_a_resumption = { "\u{feff}id: 1\ndata: a\n\n" },
     id_twice_in_one_event = { "id: 0\nid: 1\ndata: a\n\n" },
     retry_ahead_of_the_first_event = { "retry: 1000\n\nid: 1\ndata: a\n\n" },
@@ -88,6 +89,20 @@
     assert_eq!(new.bytes, "id: 2\ndata: b\n\n");
 }
 
+// Guards against an event that waits for the bytes after it, which come with the next event only.
+#[parameterized(
+    line_feeds = { "id: 1\ndata: a\n\n" },
+    carriage_returns = { "id: 1\rdata: a\r\r" },
+    carriage_returns_and_line_feeds = { "id: 1\r\ndata: a\r\n\r\n" },
+)]
+fn a_whole_event_is_forwarded_at_once(event: &str) {
+    let mut filter = EventFilter::default();
+
+    let new = filter.push_bytes(event.as_bytes());
+
+    assert_eq!(new.bytes, event);
+}
+
 // Guards against an answer that only repeats what the caller has and counts as the rest of its stream.
 #[test]
 fn repeated_events_do_not_count_as_the_stream_going_on() {
