Read the first id of a stream behind a byte order mark

A stream whose upstream begins with a byte order mark was broken off once another upstream took it up: the first event had no id for the filter (Unnumbered). The mark of the second upstream would have come in the middle of the caller's stream, as a part of the next field's name.

Cause: the mark counted as a part of the first line. Now it is taken off the first event of each upstream, and forwarded only ahead of the first.

--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -7,6 +7,9 @@
 /// Largest incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Byte order mark that a stream may begin with, in UTF-8.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// Error that ends a stream.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum EventError {
@@ -34,9 +37,11 @@
 }
 
 /// Splits a stream into complete events and drops those that were forwarded before.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventFilter {
     buf: BytesMut,
+    /// True until an upstream's first event is complete.
+    begins_segment: bool,
     last: Option<u64>,
     /// Largest distance between the ids of two events of the first upstream.
     step: Option<u64>,
@@ -48,6 +53,20 @@
     resumed_after: Option<Option<u64>>,
 }
 
+impl Default for EventFilter {
+    fn default() -> EventFilter {
+        EventFilter {
+            buf: BytesMut::new(),
+            begins_segment: true,
+            last: None,
+            step: None,
+            has_forwarded: false,
+            received: 0,
+            resumed_after: None,
+        }
+    }
+}
+
 impl EventFilter {
     /// Creates a filter for a stream of which the caller has all events up to `last`.
     pub fn resume_after(last: Option<u64>) -> EventFilter {
@@ -71,6 +90,7 @@
     /// Prepares for another upstream's stream, which resumes after the last event. From then on gaps are refused.
     pub fn restart(&mut self) {
         self.buf.clear();
+        self.begins_segment = true;
         self.resumed_after = Some(self.last);
     }
 
@@ -92,7 +112,14 @@
 
     fn take_events(&mut self, new: &mut BytesMut) -> Result<(), EventError> {
         while let Some(length) = first_event_length(&self.buf) {
-            let event = self.buf.split_to(length);
+            let mut event = self.buf.split_to(length);
+            if std::mem::take(&mut self.begins_segment) && event.starts_with(BYTE_ORDER_MARK) {
+                let mark = event.split_to(BYTE_ORDER_MARK.len());
+                // At any other place than the first it would be a part of the event.
+                if !self.is_resumed() {
+                    new.extend_from_slice(&mark);
+                }
+            }
             self.received += u64::from(!is_comment(&event));
             if self.is_new(&event)? {
                 new.extend_from_slice(&event);
--- a/stoatjunction_entry/tests/event_filter.rs
+++ b/stoatjunction_entry/tests/event_filter.rs
@@ -89,6 +89,19 @@
     assert_eq!(new.bytes, "id: 2\ndata: b\n\n");
 }
 
+// Guards against a byte order mark within a stream, where it is a part of the next field's name.
+#[test]
+fn the_byte_order_mark_of_an_upstream_that_takes_a_stream_up_is_left_out() {
+    let mut filter = EventFilter::default();
+    filter.push_bytes("\u{feff}id: 1\n\n".as_bytes());
+    filter.restart();
+
+    let new = filter.push_bytes("\u{feff}id: 2\n\n".as_bytes());
+
+    assert_eq!(new.error, None);
+    assert_eq!(new.bytes, "id: 2\n\n");
+}
+
 // Guards against an event that waits for the bytes after it, which come with the next event only.
 #[parameterized(
     line_feeds = { "id: 1\ndata: a\n\n" },
