Take the last id of an event that has several

A stream with two id lines in one event was broken off once another upstream took it up, for a gap that was none: the standard takes the last id of an event, the filter took the first.

--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -213,8 +213,9 @@
     lines.all(|l| l.starts_with(b":") || l.is_empty())
 }
 
+/// Reads the id of an event; of several, the last one counts.
 fn parse_event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| is_line_end(*b));
-    let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next()?;
+    let value = lines.filter_map(|l| l.strip_prefix(b"id:")).next_back()?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
