Let hosts whose seeds are stale find each other through the store

Cause: gossip contacts the seeds of the settings, and what other hosts name; nothing else found a host.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -40,6 +40,7 @@
 pub mod queue;
 pub mod rate_limiter;
 pub mod reachability;
+pub mod rendezvous;
 pub mod report_pacing;
 pub mod report_receivers;
 pub mod retry_budget;
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::header_names::HeaderNames;
 use crate::ingress;
 use crate::metrics::{self, EntryMetrics};
+use crate::rendezvous;
 use crate::rollout_writer;
 use crate::rollouts;
 use crate::settings::EntrySettings;
@@ -105,6 +106,7 @@
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
     spawn(Box::pin(crash_writer::run(cx.clone(), store.clone())));
+    spawn(Box::pin(rendezvous::run(cx.clone(), store.clone())));
     spawn(Box::pin(crash_probes::run(cx.clone(), store.clone())));
     spawn(Box::pin(stored_origins::write(cx.clone(), store.clone())));
     spawn(Box::pin(stored_origins::read(cx.clone(), store.clone())));
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -194,7 +194,9 @@
         Spread::All | Spread::DataCentre => HostPlace::Elsewhere,
     };
     let known = state.peers.iter().map(|(ip, p)| (*ip, place(p)));
-    let seeds = cx.settings.seeds.iter();
+    let named = state.rendezvous.contacts(clock::now()).iter();
+    let named = named.filter(|ip| !cx.settings.seeds.contains(ip));
+    let seeds = cx.settings.seeds.iter().chain(named);
     let unknown = seeds.filter(|ip| **ip != cx.settings.ip && !state.peers.contains_key(*ip));
     let unknown = unknown.map(|ip| (*ip, HostPlace::Unknown));
     let hosts: Vec<(IpAddr, HostPlace)> = known.chain(unknown).collect();
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -42,6 +42,7 @@
 mod read_limit;
 mod refusal;
 mod relay;
+mod rendezvous;
 mod rollout_reports;
 mod rollout_runs;
 mod rollout_writer;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -18,6 +18,7 @@
 use stoatjunction_core::entry::propagation::PropagationBounds;
 use stoatjunction_core::entry::queue::RequestId;
 use stoatjunction_core::entry::rate_limiter::{self, RateLimiter};
+use stoatjunction_core::entry::rendezvous::Rendezvous;
 use stoatjunction_core::entry::retry_budget::{FirstStart, RetryBudget};
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
@@ -146,6 +147,8 @@
     pub(crate) open_queries: OpenQueries,
     pub(crate) pending_updates: PendingUpdates,
     pub(crate) peers: IndexMap<IpAddr, Peer>,
+    /// Hosts that the platform's store names.
+    pub(crate) rendezvous: Rendezvous,
     /// Protocols of the other hosts as last logged.
     pub(crate) heard_protocols: HeardProtocols,
     /// This host's data centre.
@@ -249,6 +252,7 @@
             open_queries: OpenQueries::default(),
             pending_updates: PendingUpdates::default(),
             peers: IndexMap::new(),
+            rendezvous: Rendezvous::default(),
             heard_protocols: HeardProtocols::default(),
             dc: settings.dc.clone(),
             started: now,
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -2,6 +2,7 @@
 //! requests, and orders for rollouts.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -207,6 +208,15 @@
     pub revision: Option<u64>,
 }
 
+/// Hosts that the store names, for others that know none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NamedHosts {
+    /// Their addresses.
+    pub hosts: Vec<IpAddr>,
+    /// Revision of the object that names them, if there is one.
+    pub revision: Option<u64>,
+}
+
 /// The changes up to a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
@@ -271,6 +281,17 @@
         replaces: Option<u64>,
     ) -> impl Future<Output = Result<bool, StoreError>>;
 
+    /// Returns the hosts that the store names.
+    fn read_named_hosts(&self) -> impl Future<Output = Result<NamedHosts, StoreError>>;
+
+    /// Replaces the hosts that the store names at this revision; without one, it named none. Returns the new revision;
+    /// `None` if another host has written them since.
+    fn write_named_hosts(
+        &self,
+        hosts: &[IpAddr],
+        replaces: Option<u64>,
+    ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
+
     /// Returns where streams began, as far as hosts have written it.
     fn list_origins(&self) -> impl Future<Output = Result<Vec<StoredOrigins>, StoreError>>;
 
