Ask upstreams for their start while another host has a newer list

A stream that was taken up, or began, at a host that follows the store could hold events of two versions: the host had heard that another one had a newer list of upstreams, left it to its own watch for 500 ms, and that watch was silent. Meanwhile it sent streams to an upstream that was back under its name as another version.

Cause: the list was in doubt only once the store was known to be silent. Now it also is from a heartbeat that names a newer list on until this host has that list, 1 s at most: upstreams of a service with several versions are asked for their start then, as in any other doubt.

--- a/stoatjunction_entry/src/catch_up.rs
+++ b/stoatjunction_entry/src/catch_up.rs
@@ -21,7 +21,7 @@
 /// host's is newer.
 pub(crate) fn compare(cx: &Rc<Context>, peer: IpAddr, peer_version: StateVersion) {
     let is_behind = {
-        let state = cx.state.borrow();
+        let mut state = cx.state.borrow_mut();
         // A later report of the host tells whether its list is still needed.
         if !state.has_list && state.first_list.is_awaited(clock::now()) {
             return;
@@ -29,6 +29,11 @@
         let own = heartbeat::state_version(&state);
         let list_differs =
             peer_version.revision > own.revision && peer_version.digest != own.digest;
+        if list_differs {
+            state
+                .start_checks
+                .record_newer_list(peer_version.revision, clock::now());
+        }
         peer_version.config > own.config || list_differs || lacks_list(&state, peer_version)
     };
     if is_behind {
--- a/stoatjunction_entry/src/start_reports.rs
+++ b/stoatjunction_entry/src/start_reports.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use stoatjunction_core::entry::pool::Pool;
 use stoatjunction_core::entry::start_reports::{ListKnowledge, StartReport, StartReports};
-use stoatjunction_core::time::Time;
+use stoatjunction_core::time::{Span, Time};
 use tokio::sync::Mutex;
 
 use crate::attempt::UpstreamTarget;
@@ -26,6 +26,9 @@
 
 /// Time within which an upstream must send its report. It needs no slot and answers at once.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after a heartbeat of a host with a newer list for which that counts: this host may fetch it meanwhile, or find
+/// out that the lists are the same by now.
+const NEWER_LIST_TIME: Span = Span::from_millis(1_000);
 /// Maximum size of a report in bytes.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
@@ -36,6 +39,8 @@
     /// Locks by the number of the upstream, so that requests at the same time cost one report.
     in_progress: IndexMap<u64, Rc<Mutex<()>>>,
     pub(crate) list: ListKnowledge,
+    /// Revision of a newer list that another host has, and when it was last heard of.
+    newer_list: Option<(u64, Time)>,
 }
 
 impl StartChecks {
@@ -55,6 +60,17 @@
         self.reports = StartReports::default();
     }
 
+    /// Records that another host has a list of this revision, which differs from the one here.
+    pub(crate) fn record_newer_list(&mut self, revision: u64, now: Time) {
+        self.newer_list = Some((revision, now));
+    }
+
+    /// Returns whether another host has a newer list than that of `revision`, which this one has.
+    fn knows_of_newer_list(&self, revision: u64, now: Time) -> bool {
+        self.newer_list
+            .is_some_and(|(newer, at)| newer > revision && now.since(at) < NEWER_LIST_TIME)
+    }
+
     /// Returns the lock of an upstream, and drops those that nobody holds.
     fn lock_of(&mut self, number: u64) -> Rc<Mutex<()>> {
         self.in_progress
@@ -68,6 +84,9 @@
     fn may_list_be_old(&self, now: Time) -> bool {
         let age = now.since(self.started);
         self.list_doubt.is_in_doubt()
+            || self
+                .start_checks
+                .knows_of_newer_list(self.upstream_list.revision(), now)
             || !self.is_list_current(now)
             || self.has_stood_still(now)
             || self.start_checks.list.may_be_old(age)
