--- a/stoatjunction_core/src/entry/crash_probes.rs
+++ b/stoatjunction_core/src/entry/crash_probes.rs
@@ -72,7 +72,7 @@
     if latest.count >= MAX_PROBES {
         return Err(ProbeRefusal::Exhausted);
     }
-    let interval = Span(PROBE_INTERVAL.0 << latest.count.min(MAX_PROBES));
+    let interval = Span(PROBE_INTERVAL.0 << latest.count);
     match latest.age < interval {
         true => Err(ProbeRefusal::After(interval - latest.age)),
         false => Ok(latest.count + 1),
