--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -535,14 +535,6 @@
         child.is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
-    /// Starts the process again with the settings that a machine of a running system has.
-    pub fn restart(&mut self) {
-        let text = std::fs::read_to_string(&self.settings).expect("settings are readable");
-        let text = text.replace("bootstrap = true", "bootstrap = false");
-        std::fs::write(&self.settings, text).expect("settings are written");
-        self.spawn();
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
