Log lines are written by a thread of their own, so that standard error ends or stops no process

Standard error was a pipe that nobody read, was non-blocking, had no reader, was a full device, or a file at its size limit.

Cause: the only thread wrote each line itself. On a full pipe it waited in the kernel for good, so that nothing was served and SIGTERM did nothing. Class: an output that only informs decides whether the process lives.

Messages of the command line take the same way, those to standard output may fail.

--- a/stoatjunction_net/src/daemon.rs
+++ b/stoatjunction_net/src/daemon.rs
@@ -83,17 +83,31 @@
     let command = match parse(std::env::args_os().skip(1).collect()) {
         Ok(command) => command,
         Err(message) => {
-            eprintln!("{message}\n\n{}\n{OPTIONS}", program.help);
+            logging::report(&format!("{message}\n\n{}\n{OPTIONS}", program.help));
+            logging::finish();
             return ExitCode::from(EXIT_USAGE);
         }
     };
+    let exit_code = execute(program, command, body);
+    logging::finish();
+    exit_code
+}
+
+fn execute<F, Fut>(program: Program, command: Command, body: F) -> ExitCode
+where
+    F: FnOnce(DaemonSettings, StopRx) -> Fut,
+    Fut: Future<Output = miette::Result<ShutdownOutcome>>,
+{
     match command {
         Command::Help => {
-            println!("{}\n{OPTIONS}", program.help);
+            logging::print(&format!("{}\n{OPTIONS}", program.help));
             ExitCode::SUCCESS
         }
         Command::Version => {
-            println!("stoatjunction-{} {}", program.name, program.version);
+            logging::print(&format!(
+                "stoatjunction-{} {}",
+                program.name, program.version
+            ));
             ExitCode::SUCCESS
         }
         Command::Run {
@@ -102,11 +116,11 @@
             level,
         } => match DaemonSettings::load(&config) {
             Err(report) => {
-                eprintln!("{report:?}");
+                logging::report(&format!("{report:?}"));
                 ExitCode::from(EXIT_USAGE)
             }
             Ok(_) if check => {
-                println!("{}: settings are valid", config.display());
+                logging::print(&format!("{}: settings are valid", config.display()));
                 ExitCode::SUCCESS
             }
             Ok(cfg) => {
@@ -137,7 +151,7 @@
         Ok(ShutdownOutcome::Drained) => ExitCode::SUCCESS,
         Ok(ShutdownOutcome::Cut) => ExitCode::from(EXIT_CUT),
         Err(report) => {
-            eprintln!("{report:?}");
+            logging::report(&format!("{report:?}"));
             ExitCode::from(EXIT_FAILED)
         }
     }
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod ini;
 pub mod link;
+pub mod log_writer;
 pub mod logging;
 pub mod message;
 pub mod metrics;
--- a/stoatjunction_net/src/stop.rs
+++ b/stoatjunction_net/src/stop.rs
@@ -1,5 +1,6 @@
 //! Stop signal of a process.
 
+use nix::libc::SIGXFSZ;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -19,7 +20,7 @@
 pub type StopRx = watch::Receiver<Stop>;
 
 /// Installs handlers that turn the first SIGTERM or SIGINT into [`Stop::Graceful`] and the second
-/// into [`Stop::Now`].
+/// into [`Stop::Now`], and one so that an output over its size limit fails without ending the process.
 ///
 /// # Errors
 ///
@@ -28,6 +29,8 @@
     let (tx, rx) = watch::channel(Stop::No);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
+    // The handler stays installed.
+    drop(signal(SignalKind::from_raw(SIGXFSZ))?);
     tokio::spawn(async move {
         for stop in [Stop::Graceful, Stop::Now] {
             tokio::select! {
