Signals that come before their handlers are held back and do not end a starting host

A hangup, by which the platform says that the settings have changed, ended the process by its default action until the daemon had read its settings, started its log and installed the handler; so did a stop, without the exit code of a clean one.

Change: the program's first step blocks SIGHUP, SIGTERM and SIGINT; they are let through once the handlers are installed, which now comes before the settings are read. Signals that came meanwhile are handled then. What remains is the moment between the start of the program and its first line.

--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -7,7 +7,7 @@
 use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_net::daemon::ShutdownOutcome;
 use stoatjunction_net::stop::{self, Stop, StopRx};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -36,17 +36,26 @@
 /// Interval for deciding on waiting requests that become due.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Signals of the process.
+#[derive(Debug)]
+pub struct Signals {
+    /// Stops the daemon.
+    pub stop: StopRx,
+    /// Has the settings reread.
+    pub hangup: Signal,
+}
+
 /// Runs the daemon until it is stopped. `reload` rereads the settings.
 ///
 /// # Errors
 ///
-/// An error if a listening socket or the signal handler can't be set up.
+/// An error if the metrics or a listening socket can't be set up.
 pub async fn run<S, R>(
     settings: EntrySettings,
     names: HeaderNames,
     store: S,
     reload: R,
-    stop: StopRx,
+    signals: Signals,
 ) -> miette::Result<ShutdownOutcome>
 where
     S: Store + 'static,
@@ -54,7 +63,7 @@
 {
     let local = LocalSet::new();
     local
-        .run_until(serve(settings, names, Rc::new(store), reload, stop))
+        .run_until(serve(settings, names, Rc::new(store), reload, signals))
         .await
 }
 
@@ -63,13 +72,13 @@
     names: HeaderNames,
     store: Rc<S>,
     reload: R,
-    stop: StopRx,
+    signals: Signals,
 ) -> miette::Result<ShutdownOutcome>
 where
     S: Store + 'static,
     R: Fn() -> miette::Result<EntrySettings> + 'static,
 {
-    let hangup = signal(SignalKind::hangup()).into_diagnostic()?;
+    let Signals { stop, hangup } = signals;
     let metrics = EntryMetrics::start()
         .into_diagnostic()
         .wrap_err("cannot set up metrics")?;
--- a/stoatjunction_net/src/stop.rs
+++ b/stoatjunction_net/src/stop.rs
@@ -1,7 +1,8 @@
-//! Stop signal of a process.
+//! Signals of a process: those that stop it, and the hangup.
 
 use nix::libc::SIGXFSZ;
-use tokio::signal::unix::{SignalKind, signal};
+use nix::sys::signal::{SigSet, Signal as SignalNumber};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 /// Requested kind of shutdown.
@@ -44,6 +45,38 @@
     Ok(rx)
 }
 
+/// Holds back the signals that have a handler once the process has started; without one they would end it. To be called
+/// before any thread is started.
+///
+/// # Errors
+///
+/// An I/O error if the signals can't be held back.
+pub fn hold_signals() -> std::io::Result<()> {
+    Ok(held_signals().thread_block()?)
+}
+
+/// Installs the handler of a hangup, and lets the signals through that were held back. To be called after
+/// [`on_signals`].
+///
+/// # Errors
+///
+/// An I/O error if the signal handler can't be installed.
+pub fn on_hangup() -> std::io::Result<Signal> {
+    let hangup = signal(SignalKind::hangup())?;
+    held_signals().thread_unblock()?;
+    Ok(hangup)
+}
+
+fn held_signals() -> SigSet {
+    [
+        SignalNumber::SIGHUP,
+        SignalNumber::SIGINT,
+        SignalNumber::SIGTERM,
+    ]
+    .into_iter()
+    .collect()
+}
+
 /// Waits until `stop` or a more urgent shutdown is requested. Never returns if the sender is
 /// dropped before.
 pub async fn wait(rx: &StopRx, stop: Stop) {
