A port that is in use does not end a starting host

Where one of its ports was still used by a process about to end, or by an outgoing connection to which the kernel had given it, or its address was not there yet, the process ended with exit code 1. With the port of heartbeats it went on, never heard another host and used a whole limit alone.

Change: sockets are opened again every 50 ms while the reason is one that passes (address in use or not available, no descriptors, no memory), with event=listen_failed once a second; other reasons end the process as before. Only the ports of callers and of the balancer delay the start; the others are served as soon as they are free. SIGTERM ends the wait.

--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Start and stop of the entry daemon.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_net::daemon::ShutdownOutcome;
 use stoatjunction_net::stop::{self, Stop, StopRx};
+use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
@@ -84,20 +86,19 @@
         .wrap_err("cannot set up metrics")?;
     let cx = Rc::new(Context::new(settings, names, metrics));
     let settings = &cx.settings;
-    let (callers, ready) = ingress::bind(settings.callers, settings.ready)
+    let bound = tokio::select! {
+        bound = ingress::bind(settings.callers, settings.ready) => bound,
+        () = stop::wait(&stop, Stop::Graceful) => return Ok(ShutdownOutcome::Drained),
+    };
+    let (callers, ready) = bound
         .into_diagnostic()
         .wrap_err("cannot listen for callers")?;
-    let snapshot_addr = std::net::SocketAddr::new(settings.ip, settings.snapshot_port);
-    let snapshot_listener = sockets::listen(snapshot_addr)
-        .into_diagnostic()
-        .wrap_err("cannot listen for other hosts")?;
-    let tunnel_addr = std::net::SocketAddr::new(settings.ip, settings.tunnel_port);
-    let tunnel_listener = sockets::listen(tunnel_addr)
-        .into_diagnostic()
-        .wrap_err("cannot listen for hosts that are cut off")?;
-    let metrics_listener = sockets::listen(settings.metrics)
-        .into_diagnostic()
-        .wrap_err("cannot listen for readers of the metrics")?;
+    let own_addr = |port| SocketAddr::new(settings.ip, port);
+    let (snapshots, tunnels) = (
+        own_addr(settings.snapshot_port),
+        own_addr(settings.tunnel_port),
+    );
+    let metrics = settings.metrics;
     log::info!(
         "event=started callers={} dc={}",
         settings.callers,
@@ -107,9 +108,24 @@
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(ingress::accept(cx.clone(), callers, phase)));
     spawn(Box::pin(ingress::serve_readiness(cx.clone(), ready)));
-    spawn(Box::pin(metrics::serve(cx.clone(), metrics_listener)));
-    spawn(Box::pin(snapshot::serve(cx.clone(), snapshot_listener)));
-    spawn(Box::pin(tunnel_server::serve(cx.clone(), tunnel_listener)));
+    spawn(Box::pin(listen(
+        cx.clone(),
+        metrics,
+        "metrics",
+        metrics::serve,
+    )));
+    spawn(Box::pin(listen(
+        cx.clone(),
+        snapshots,
+        "snapshots",
+        snapshot::serve,
+    )));
+    spawn(Box::pin(listen(
+        cx.clone(),
+        tunnels,
+        "tunnels",
+        tunnel_server::serve,
+    )));
     spawn(Box::pin(run_gossip(cx.clone())));
     spawn(Box::pin(tick(cx.clone())));
     spawn(Box::pin(store_watch::apply_removals(cx.clone())));
@@ -141,6 +157,18 @@
     Ok(ended)
 }
 
+/// Serves on a port that callers do not need, as soon as it can be listened on.
+async fn listen<F, Fut>(cx: Rc<Context>, addr: SocketAddr, purpose: &'static str, serve: F)
+where
+    F: FnOnce(Rc<Context>, TcpListener) -> Fut,
+    Fut: Future<Output = ()>,
+{
+    match sockets::listen_when_possible(addr, purpose).await {
+        Ok(listener) => serve(cx, listener).await,
+        Err(e) => log::error!("event=not_listening purpose={purpose} addr={addr} reason=\"{e}\""),
+    }
+}
+
 async fn run_gossip(cx: Rc<Context>) {
     if let Err(e) = gossip::run(cx).await {
         log::error!("event=gossip_failed reason={e}");
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -11,7 +11,6 @@
 use stoatjunction_core::entry::slot_allocation::HostDemand;
 use stoatjunction_core::entry::stream_origins::Place;
 use stoatjunction_core::time::{Span, Time};
-use tokio::net::UdpSocket;
 
 use crate::capacity_reports;
 use crate::clock;
@@ -25,6 +24,7 @@
 use crate::protocol::Extension;
 use crate::relay::{self, host_number};
 use crate::rollout_reports;
+use crate::sockets;
 use crate::state::{Context, Peer, SharedState};
 use crate::stream_origins::{self, OriginQuery};
 use crate::trial_protocol;
@@ -46,7 +46,7 @@
 /// Sends and receives messages for as long as the daemon runs.
 pub(crate) async fn run(cx: Rc<Context>) -> io::Result<()> {
     let addr = SocketAddr::new(cx.settings.ip, cx.settings.heartbeat_port);
-    let socket = UdpSocket::bind(addr).await?;
+    let socket = sockets::bind_when_possible(addr, "heartbeats").await?;
     let was_set = cx.gossip_socket.set(socket);
     was_set.map_err(|_| io::Error::from(io::ErrorKind::AlreadyExists))?;
     tokio::task::spawn_local(receive(cx.clone()));
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -320,9 +320,12 @@
 }
 
 /// Opens the listeners for callers and the balancer.
-pub(crate) fn bind(
+pub(crate) async fn bind(
     callers: SocketAddr,
     ready: SocketAddr,
-) -> std::io::Result<(TcpListener, TcpListener)> {
-    Ok((sockets::listen(callers)?, sockets::listen(ready)?))
+) -> io::Result<(TcpListener, TcpListener)> {
+    tokio::try_join!(
+        sockets::listen_when_possible(callers, "callers"),
+        sockets::listen_when_possible(ready, "readiness"),
+    )
 }
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -7,7 +7,7 @@
 
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Idle time after which keepalive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -26,6 +26,10 @@
 const TCP_SYN_ACK: u32 = 0x12;
 /// Number of connections that may wait to be accepted; a full queue delays callers by seconds.
 const ACCEPT_BACKLOG: i32 = 1_024;
+/// Interval for opening a socket that could not be opened.
+const OPEN_INTERVAL: Duration = Duration::from_millis(50);
+/// Attempts to open a socket of which one is logged.
+const OPEN_ATTEMPTS_PER_LINE: u32 = 20;
 
 /// Sets the options by which a connection fails within seconds after its peer is gone.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
@@ -81,8 +85,61 @@
     SockRef::from(listener).attach_filter(&filter)
 }
 
+/// Listens on `addr` as soon as that is possible.
+pub(crate) async fn listen_when_possible(
+    addr: SocketAddr,
+    purpose: &str,
+) -> io::Result<TcpListener> {
+    open_when_possible(addr, purpose, || listen(addr)).await
+}
+
+/// Binds a socket for datagrams to `addr` as soon as that is possible.
+pub(crate) async fn bind_when_possible(addr: SocketAddr, purpose: &str) -> io::Result<UdpSocket> {
+    let bind = || {
+        let socket = std::net::UdpSocket::bind(addr)?;
+        socket.set_nonblocking(true)?;
+        UdpSocket::from_std(socket)
+    };
+    open_when_possible(addr, purpose, bind).await
+}
+
+/// Opens a socket, again and again while that fails for a reason that passes. A process that is about to end and outgoing
+/// connections of others may use the port.
+async fn open_when_possible<T, F>(addr: SocketAddr, purpose: &str, open: F) -> io::Result<T>
+where
+    F: Fn() -> io::Result<T>,
+{
+    let mut attempts = 0_u32;
+    loop {
+        match open() {
+            Ok(socket) => return Ok(socket),
+            Err(e) if !may_pass(&e) => return Err(e),
+            Err(e) => {
+                if attempts.is_multiple_of(OPEN_ATTEMPTS_PER_LINE) {
+                    log::warn!("event=listen_failed purpose={purpose} addr={addr} reason=\"{e}\"");
+                }
+            }
+        }
+        attempts = attempts.wrapping_add(1);
+        tokio::time::sleep(OPEN_INTERVAL).await;
+    }
+}
+
+/// Returns whether opening a socket may succeed later.
+fn may_pass(e: &io::Error) -> bool {
+    let passing = [
+        libc::EADDRINUSE,
+        libc::EADDRNOTAVAIL,
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+    ];
+    e.raw_os_error().is_some_and(|code| passing.contains(&code))
+}
+
 /// Listens on `addr`.
-pub(crate) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
