An upstream that resets a connection which it has accepted has not ended

What callers saw: requests and parts of prompts refused as barred (2011) although no upstream had ended.

Cause: whether an upstream has ended is asked by opening a connection. An upstream beyond its connection limit accepts and resets; where the reset arrives before the attempt has returned, the kernel reports ECONNRESET in place of success, and any error counted as an end. The logs show crash_recorded right after connections that were reset, on one machine and with the same code never on another.

Change: a reset is evidence that somebody accepted; any other error (refused, no answer) is evidence as before.

--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -222,5 +222,6 @@
 
 /// Returns whether an upstream accepts no connection, of this host or, while this one is cut off, of another one.
 async fn has_ended(cx: &Rc<Context>, target: &UpstreamTarget) -> bool {
-    upstream_connections::open(cx, target).await.is_err()
+    let opened = upstream_connections::open(cx, target).await;
+    upstream_connections::is_unaccepted(&opened)
 }
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -144,7 +144,14 @@
     record_unreached(cx, service, target.number).await;
     has_answered() == Some(true)
         || (!is_cut_off(cx, service) && try_own(cx, service).await)
-        || connection_pool::open(&target.addr).await.is_err()
+        || is_unaccepted(&connection_pool::open(&target.addr).await)
+}
+
+/// Returns whether an attempt at a connection shows that the upstream accepts none. One that is reset was accepted: the
+/// reset may arrive before the attempt has returned.
+pub(crate) fn is_unaccepted(opened: &io::Result<Connection>) -> bool {
+    let error = opened.as_ref().err();
+    error.is_some_and(|e| e.kind() != io::ErrorKind::ConnectionReset)
 }
 
 /// Returns whether this host is cut off from the upstreams of a service.
