Log lines are collected for 100 ms, and a flush ends the collecting

The thread that writes log lines woke up to 50 times a second. Batches of 100 ms wake it ten times a second; the end of the process and a panic no longer wait for a batch. After SIGKILL the lines of the last 100 ms are missing.

Measured: log_writer.rs with one more case, standard_error.rs, green.

--- a/stoatjunction_net/src/log_writer.rs
+++ b/stoatjunction_net/src/log_writer.rs
@@ -2,7 +2,7 @@
 //! of the output ends the process.
 
 use std::io::{self, ErrorKind, Write};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
     fn default() -> LineQueueConfig {
         LineQueueConfig {
             max_bytes: 256 * 1024,
-            batch_time: Duration::from_millis(20),
+            batch_time: Duration::from_millis(100),
             retry_interval: Duration::from_millis(100),
         }
     }
@@ -56,6 +56,8 @@
     /// Lines that were not written and of which no line says so yet.
     lost: u64,
     is_writing: bool,
+    /// True while somebody waits for the lines to be written.
+    is_urgent: bool,
     /// True once nobody will ever read the output.
     is_closed: bool,
 }
@@ -117,11 +119,12 @@
 
     /// Waits until all lines are written, for at most `timeout`. Returns whether they are.
     pub fn flush(&self, timeout: Duration) -> bool {
+        let mut state = self.lock();
+        state.is_urgent = true;
+        self.shared.filled.notify_one();
         let is_busy = |s: &mut State| s.is_writing || !(s.bytes.is_empty() || s.is_closed);
-        let waited = self
-            .shared
-            .written
-            .wait_timeout_while(self.lock(), timeout, is_busy);
+        let written = &self.shared.written;
+        let waited = written.wait_timeout_while(state, timeout, is_busy);
         waited.is_ok_and(|(_, result)| !result.timed_out())
     }
 
@@ -150,12 +153,13 @@
     fn take_batch(&self, batch: &mut Vec<u8>) {
         batch.clear();
         batch.shrink_to(KEPT_BYTES);
-        let state = self.lock();
-        let filled = self.shared.filled.wait_while(state, |s| s.bytes.is_empty());
-        drop(filled);
-        thread::sleep(self.cfg.batch_time);
-        let mut state = self.lock();
+        let filled = &self.shared.filled;
+        let state = filled.wait_while(self.lock(), |s| s.bytes.is_empty());
+        let state = state.unwrap_or_else(PoisonError::into_inner);
+        let collected = filled.wait_timeout_while(state, self.cfg.batch_time, |s| !s.is_urgent);
+        let (mut state, _) = collected.unwrap_or_else(PoisonError::into_inner);
         state.is_writing = true;
+        state.is_urgent = false;
         std::mem::swap(&mut state.bytes, batch);
         let lost = std::mem::take(&mut state.lost);
         drop(state);
@@ -203,7 +207,10 @@
 
     fn lock(&self) -> MutexGuard<'_, State> {
         // The state is whole between any two statements that change it.
-        self.shared.state.lock().unwrap_or_else(|e| e.into_inner())
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/stoatjunction_net/tests/log_writer.rs
+++ b/stoatjunction_net/tests/log_writer.rs
@@ -155,3 +155,18 @@
     assert!(queue.flush(WAIT_TIMEOUT));
     assert_eq!(output.text(), "");
 }
+
+#[test]
+fn a_flush_does_not_wait_until_lines_are_collected() {
+    let output = Output::default();
+    let cfg = LineQueueConfig {
+        batch_time: WAIT_TIMEOUT,
+        ..LineQueueConfig::default()
+    };
+    let queue = LineQueue::start(cfg, output.clone()).expect("thread starts");
+
+    queue.push(b"one\n");
+
+    assert!(queue.flush(WAIT_TIMEOUT / 2));
+    assert_eq!(output.text(), "one\n");
+}
