Errors of accepting and receiving are retried after a pause and logged once a second

What callers saw: a host without a free descriptor did not hand back the processor (FAULT) and filled its log. accept fails at once with EMFILE as long as that lasts, while the connection stays in the queue; the loops called it again at once, with a warning each time, and warnings are not limited.

Cause: the loops only gave way to other tasks of the same thread.

Change: SocketErrors accepts for all of them. It waits 20 ms after an error that lasts (files, buffers, memory), and goes on at once after an error of one connection (aborted, reset, refused). One line a second carries the number of errors (event=socket_failed), and the same holds for event=too_many_connections. When the daemon closes, an aborted connection in the queue no longer makes it reset those behind it. The admin interface accepts by warp, which has a pause of its own by its source; not run.

--- a/stoatjunction_dispatcher/src/listener.rs
+++ b/stoatjunction_dispatcher/src/listener.rs
@@ -5,6 +5,7 @@
 use stoatjunction_core::membership::Member;
 use stoatjunction_net::link::{self, LinkSettings};
 use stoatjunction_net::message::{Hello, Notice, Request};
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -19,10 +20,9 @@
     own_member: Member,
     tx: mpsc::Sender<Event>,
 ) {
+    let mut errors = SocketErrors::new("links");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let (stream, _) = errors.accept(&listener).await;
         tokio::spawn(serve_link(
             stream,
             cfg.clone(),
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -11,6 +11,7 @@
 use stoatjunction_core::entry::slot_allocation::HostDemand;
 use stoatjunction_core::entry::stream_origins::Place;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::socket_errors::SocketErrors;
 
 use crate::capacity_reports;
 use crate::clock;
@@ -324,12 +325,12 @@
         return;
     };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    let mut errors = SocketErrors::new("heartbeats");
     loop {
-        let Ok((len, sender)) = socket.recv_from(&mut buf).await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        handle(&cx, sender.ip(), &buf[..len]);
+        match socket.recv_from(&mut buf).await {
+            Ok((len, sender)) => handle(&cx, sender.ip(), &buf[..len]),
+            Err(e) => errors.handle(&e).await,
+        }
     }
 }
 
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -1,11 +1,11 @@
 //! Connections of callers, and the readiness endpoint for the balancer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, EXPECT};
@@ -15,6 +15,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::occurrences::Occurrences;
+use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -47,22 +49,18 @@
             .max_open_files
             .saturating_sub(RESERVED_FILES)
             .max(64),
+        refused: RefCell::default(),
         phase: phase.clone(),
         cx,
     };
     let mut closing = phase;
+    let mut errors = SocketErrors::new("callers");
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            (stream, _) = errors.accept(&listener) => stream,
             _ = closing.wait_for(|p| *p == Phase::Closing) => break,
         };
-        match accepted {
-            Ok((stream, _)) => callers.admit(stream),
-            Err(e) => {
-                log::warn!("event=accept_failed reason={e}");
-                tokio::task::yield_now().await;
-            }
-        }
+        callers.admit(stream);
     }
     if let Err(e) = callers.admit_last(listener).await {
         log::warn!("event=accept_failed reason={e}");
@@ -74,6 +72,8 @@
     cx: Rc<Context>,
     open: Rc<Cell<usize>>,
     max_open: usize,
+    /// Connections that were closed because too many were open.
+    refused: RefCell<Occurrences>,
     phase: watch::Receiver<Phase>,
 }
 
@@ -81,8 +81,7 @@
     /// Serves a connection, if not too many are open.
     fn admit(&self, stream: TcpStream) {
         if self.open.get() >= self.max_open {
-            log::warn!("event=too_many_connections open={}", self.open.get());
-            return;
+            return self.log_refused();
         }
         let open = self.open.clone();
         open.set(open.get() + 1);
@@ -96,6 +95,13 @@
         });
     }
 
+    fn log_refused(&self) {
+        if let Some(count) = self.refused.borrow_mut().record(Instant::now()) {
+            let open = self.open.get();
+            log::warn!("event=too_many_connections open={open} count={count}");
+        }
+    }
+
     /// Serves the last connections and closes the listener.
     async fn admit_last(&self, listener: TcpListener) -> io::Result<()> {
         let listener = listener.into_std()?;
@@ -116,6 +122,7 @@
                     self.admit(TcpStream::from_std(stream)?);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if concerns_one_peer(&e) => {}
                 Err(e) => return Err(e),
             }
         }
@@ -294,11 +301,9 @@
 
 /// Answers the balancer's readiness checks until the process ends.
 pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
+    let mut errors = SocketErrors::new("readiness");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let cx = cx.clone();
         let service = service_fn(move |_| {
             let ready = cx.state.borrow().is_ready(clock::now());
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -20,6 +20,7 @@
 use stoatjunction_core::entry::start_trace::StartPhase;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::metrics::Metrics;
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::TcpListener;
 
 use crate::body::Body;
@@ -168,15 +169,9 @@
 /// Serves the metrics for as long as the daemon runs.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let limit = Rc::new(RefCell::new(QueryLimit::default()));
+    let mut errors = SocketErrors::new("metrics");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("event=metrics_accept_failed reason={e}");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let (cx, limit) = (cx.clone(), limit.clone());
         let service = service_fn(move |req: Request<Incoming>| {
             let res = match req.uri().path() {
--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -14,6 +14,7 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::list_update::ListUpdate;
 use stoatjunction_net::admin::query_value;
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
@@ -110,11 +111,9 @@
 
 /// Serves this host's snapshot.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
+    let mut errors = SocketErrors::new("snapshots");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let cx = cx.clone();
         tokio::task::spawn_local(async move {
             if let Err(e) = tokio::time::timeout(TRANSFER_TIMEOUT, send(&cx, stream)).await {
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -9,6 +9,7 @@
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
 use stoatjunction_net::admin::query_value;
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::attempt::UpstreamTarget;
@@ -27,11 +28,9 @@
 /// Serves other hosts.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0));
+    let mut errors = SocketErrors::new("tunnels");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
             if let Err(e) = serve_host(&cx, stream, &open).await {
--- a/stoatjunction_net/src/http.rs
+++ b/stoatjunction_net/src/http.rs
@@ -20,6 +20,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use crate::socket_errors::SocketErrors;
+
 /// Error of a streamed body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// A body that is either in memory or streamed.
@@ -109,15 +111,13 @@
 {
     let mut stop = closed.clone();
     let mut connections = JoinSet::new();
+    let mut errors = SocketErrors::new("callers");
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, peer) = tokio::select! {
+            accepted = errors.accept(&listener) => accepted,
             Some(_) = connections.join_next() => continue,
             _ = stop.wait_for(|closed| *closed) => break,
         };
-        let Ok((stream, peer)) = accepted else {
-            continue;
-        };
         let _ = stream.set_nodelay(true);
         connections.spawn(serve_connection(
             stream,
