Callers leave files for upstreams, the store and the settings under any limit on open files

What callers saw: with 256 files in place of the 4,100 of the settings, idle callers took all of them. A caller on an open connection got 503: no connection to an upstream could be opened, so the host declared itself cut off (event=cut_off, unreachable). The store and the settings could not be read either. With a soft limit of 256 that the process may raise, further callers were not accepted.

Cause: the part of callers was the number of the settings less 1,200, whatever the kernel allowed.

Change: the daemon raises its soft limit to the number of the settings as far as the hard limit allows, and warns if that is less (event=few_open_files). FileShares divides the limit that holds: callers get what 1,200 other files leave, at least a third; tunnels for other hosts 400, at most an eighth. With 4,100 files nothing changes (2,900 and 400). If the limit cannot be read, the settings hold.

Measured: open_files.rs. Idle callers at a limit of 256: red before (503 in place of 200), green now, with readiness answered, a new configuration applied and changed settings read meanwhile. Soft limit of 256: red before (a further caller is not served), green now. 300 callers with a request each at a limit of 256: held before, too; no answer was untrue, none ran twice.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod crash_probes;
 pub mod decaying_rate;
 pub mod explanation;
+pub mod file_shares;
 pub mod first_list;
 pub mod follower_election;
 pub mod health;
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use miette::{IntoDiagnostic, WrapErr};
+use stoatjunction_core::entry::file_shares::FileShares;
 use stoatjunction_core::entry::shutdown::Shutdown;
 use stoatjunction_net::daemon::ShutdownOutcome;
+use stoatjunction_net::open_files;
 use stoatjunction_net::stop::{self, Stop, StopRx};
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -84,7 +86,8 @@
     let metrics = EntryMetrics::start()
         .into_diagnostic()
         .wrap_err("cannot set up metrics")?;
-    let cx = Rc::new(Context::new(settings, names, metrics));
+    let file_shares = FileShares::of(open_files::raise_limit(settings.max_open_files));
+    let cx = Rc::new(Context::new(settings, names, metrics, file_shares));
     let settings = &cx.settings;
     let bound = tokio::select! {
         bound = ingress::bind(settings.callers, settings.ready) => bound,
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -30,8 +30,6 @@
 use crate::stream_buffer::CallerConnection;
 use crate::write_watch::{WatchedConnection, WriteProgress};
 
-/// Number of file descriptors reserved for other uses than callers' connections.
-const RESERVED_FILES: usize = 1_200;
 /// Time within which the first request on a new connection arrives: callers are a few milliseconds away.
 const FIRST_REQUEST_TIME: Span = Span::from_millis(300);
 /// Time within which a connection that is being opened is open.
@@ -44,11 +42,7 @@
 pub(crate) async fn accept(cx: Rc<Context>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let callers = Callers {
         open: Rc::new(Cell::new(0)),
-        max_open: cx
-            .settings
-            .max_open_files
-            .saturating_sub(RESERVED_FILES)
-            .max(64),
+        max_open: cx.file_shares.callers,
         refused: RefCell::default(),
         phase: phase.clone(),
         cx,
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -9,6 +9,7 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::crash::Crash;
 use stoatjunction_core::entry::crash_causes::CrashCauses;
+use stoatjunction_core::entry::file_shares::FileShares;
 use stoatjunction_core::entry::first_list::FirstList;
 use stoatjunction_core::entry::follower_election::FollowerElection;
 use stoatjunction_core::entry::list_doubt::ListDoubt;
@@ -187,6 +188,7 @@
 #[derive(Debug)]
 pub(crate) struct Context {
     pub(crate) settings: EntrySettings,
+    pub(crate) file_shares: FileShares,
     pub(crate) names: HeaderNames,
     /// Random number that identifies this start of the daemon.
     pub(crate) boot: u64,
@@ -223,6 +225,7 @@
         settings: EntrySettings,
         names: HeaderNames,
         metrics: EntryMetrics,
+        file_shares: FileShares,
     ) -> Context {
         let now = clock::now();
         let first_start = match settings.first_start {
@@ -273,6 +276,7 @@
         let memory = MemoryBudget::new(memory_budget::budget_bytes(settings.memory_limit_mb));
         Context {
             settings,
+            file_shares,
             names,
             boot,
             state: RefCell::new(state),
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -20,8 +20,6 @@
 use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
 use crate::upstream_connections;
 
-/// Connections to upstreams that are open for other hosts at once; each needs a file.
-const MAX_TUNNELS: usize = 400;
 /// Streams that one other host may open at once.
 const MAX_STREAMS: u32 = 400;
 
@@ -67,7 +65,8 @@
 
 impl<'a> OpenTunnel<'a> {
     fn new(cx: &Rc<Context>, open: &'a Cell<usize>) -> Option<OpenTunnel<'a>> {
-        let may_open = open.get() < MAX_TUNNELS && cx.state.borrow().phase != Phase::Closing;
+        let may_open =
+            open.get() < cx.file_shares.tunnels && cx.state.borrow().phase != Phase::Closing;
         may_open.then(|| {
             open.set(open.get() + 1);
             OpenTunnel {
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod metrics;
 pub mod occurrences;
+pub mod open_files;
 pub mod platform;
 pub mod prelude;
 pub mod settings;
