Open connections to the ports of the balancer, of metrics and of other hosts hold up nobody else

What callers saw: with a limit of 256 files, connections left open to the port of readiness checks, of metrics or of tunnels took all files for as long as they were open. Readiness was not answered, callers were not accepted, upstreams, the store and the settings could not be reached. Only callers' connections were counted, and only theirs had an idle timeout.

A host that opens a connection for tunnels has 1.5 s for its handshake.

Ruled out: the same bound for tunnels, since in a large fleet each host may have a connection there that streams use.

--- a/stoatjunction_core/src/entry/file_shares.rs
+++ b/stoatjunction_core/src/entry/file_shares.rs
@@ -10,6 +10,10 @@
 const MAX_TUNNELS: usize = 400;
 /// The largest part of the limit for these, as a divisor.
 const MAX_TUNNELS_DIVISOR: usize = 8;
+/// Connections to a port of which only the most recent ones stay open.
+const MAX_CHECKS: usize = 64;
+/// The largest part of the limit for these, as a divisor.
+const MAX_CHECKS_DIVISOR: usize = 16;
 
 /// Files by use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +22,8 @@
     pub callers: usize,
     /// Connections to upstreams that are open for other hosts.
     pub tunnels: usize,
+    /// Connections to each of the ports for readiness checks and for metrics.
+    pub checks: usize,
 }
 
 impl FileShares {
@@ -27,6 +33,7 @@
         FileShares {
             callers: callers.max(limit / MIN_CALLERS_DIVISOR),
             tunnels: MAX_TUNNELS.min(limit / MAX_TUNNELS_DIVISOR),
+            checks: MAX_CHECKS.min(limit / MAX_CHECKS_DIVISOR),
         }
     }
 }
--- a/stoatjunction_core/tests/entry_file_shares.rs
+++ b/stoatjunction_core/tests/entry_file_shares.rs
@@ -4,14 +4,14 @@
 use yare::parameterized;
 
 #[parameterized(
-    of_a_platform = { 4_100, 2_900, 400 },
-    of_a_shell = { 1_024, 341, 128 },
-    small = { 256, 85, 32 },
-    tiny = { 48, 16, 6 },
+    of_a_platform = { 4_100, [2_900, 400, 64] },
+    of_a_shell = { 1_024, [341, 128, 64] },
+    small = { 256, [85, 32, 16] },
+    tiny = { 48, [16, 6, 3] },
 )]
-fn callers_and_tunnels_leave_files_for_upstreams(limit: usize, callers: usize, tunnels: usize) {
+fn callers_tunnels_and_checks_leave_files_for_upstreams(limit: usize, expected: [usize; 3]) {
     let shares = FileShares::of(limit);
 
-    assert_eq!(shares, FileShares { callers, tunnels });
-    assert!(shares.callers + shares.tunnels < limit);
+    assert_eq!([shares.callers, shares.tunnels, shares.checks], expected);
+    assert!(shares.callers + shares.tunnels + 2 * shares.checks < limit);
 }
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::forward;
 use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
+use crate::recent_connections::RecentConnections;
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 use crate::stream_buffer::CallerConnection;
@@ -296,6 +297,7 @@
 /// Answers the balancer's readiness checks until the process ends.
 pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
     let mut errors = SocketErrors::new("readiness");
+    let mut connections = RecentConnections::new(cx.file_shares.checks);
     loop {
         let (stream, _) = errors.accept(&listener).await;
         let cx = cx.clone();
@@ -303,7 +305,7 @@
             let ready = cx.state.borrow().is_ready(clock::now());
             async move { Ok::<_, Infallible>(readiness_response(ready)) }
         });
-        tokio::task::spawn_local(async move {
+        connections.serve(async move {
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             let _ended_by_either_side = conn.await;
         });
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -40,6 +40,7 @@
 mod pressure;
 mod protocol;
 mod read_limit;
+mod recent_connections;
 mod refusal;
 mod relay;
 mod rendezvous;
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -27,6 +27,7 @@
 use crate::clock;
 use crate::explain_placement;
 use crate::host_protocols;
+use crate::recent_connections::RecentConnections;
 use crate::rollouts;
 use crate::state::{Context, SharedState};
 
@@ -170,6 +171,7 @@
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let limit = Rc::new(RefCell::new(QueryLimit::default()));
     let mut errors = SocketErrors::new("metrics");
+    let mut connections = RecentConnections::new(cx.file_shares.checks);
     loop {
         let (stream, _) = errors.accept(&listener).await;
         let (cx, limit) = (cx.clone(), limit.clone());
@@ -182,7 +184,7 @@
             };
             async move { Ok::<_, Infallible>(res) }
         });
-        tokio::task::spawn_local(async move {
+        connections.serve(async move {
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(e) = conn.await {
                 log::debug!("event=metrics_connection_failed reason=\"{e}\"");
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::RecvStream;
@@ -20,6 +21,8 @@
 use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
 use crate::upstream_connections;
 
+/// Time in which another host begins to use its connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Streams that one other host may open at once.
 const MAX_STREAMS: u32 = 400;
 
@@ -44,7 +47,9 @@
         .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(stream);
-    let mut conn = handshake.await.map_err(io::Error::other)?;
+    let shaken = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await;
+    let shaken = shaken.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    let mut conn = shaken.map_err(io::Error::other)?;
     while let Some(accepted) = conn.accept().await {
         let (req, respond) = accepted.map_err(io::Error::other)?;
         let (cx, open) = (cx.clone(), open.clone());
