--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -20,12 +20,14 @@
 use stoatjunction_core::entry::start_trace::StartPhase;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::metrics::Metrics;
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::TcpListener;
 
 use crate::body::Body;
 use crate::clock;
 use crate::explain_placement;
 use crate::host_protocols;
+use crate::recent_connections::RecentConnections;
 use crate::rollouts;
 use crate::state::{Context, SharedState};
 
@@ -168,15 +170,10 @@
 /// Serves the metrics for as long as the daemon runs.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let limit = Rc::new(RefCell::new(QueryLimit::default()));
+    let mut errors = SocketErrors::new("metrics");
+    let mut connections = RecentConnections::new(cx.file_shares.checks);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("event=metrics_accept_failed reason={e}");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let (cx, limit) = (cx.clone(), limit.clone());
         let service = service_fn(move |req: Request<Incoming>| {
             let res = match req.uri().path() {
@@ -187,7 +184,7 @@
             };
             async move { Ok::<_, Infallible>(res) }
         });
-        tokio::task::spawn_local(async move {
+        connections.serve(async move {
             let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(e) = conn.await {
                 log::debug!("event=metrics_connection_failed reason=\"{e}\"");
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -3,12 +3,14 @@
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
 use stoatjunction_net::admin::query_value;
+use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::attempt::UpstreamTarget;
@@ -19,19 +21,17 @@
 use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
 use crate::upstream_connections;
 
-/// Connections to upstreams that are open for other hosts at once; each needs a file.
-const MAX_TUNNELS: usize = 400;
+/// Time in which another host begins to use its connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Streams that one other host may open at once.
 const MAX_STREAMS: u32 = 400;
 
 /// Serves other hosts.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0));
+    let mut errors = SocketErrors::new("tunnels");
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
+        let (stream, _) = errors.accept(&listener).await;
         let (cx, open) = (cx.clone(), open.clone());
         tokio::task::spawn_local(async move {
             if let Err(e) = serve_host(&cx, stream, &open).await {
@@ -47,7 +47,9 @@
         .initial_connection_window_size(WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(stream);
-    let mut conn = handshake.await.map_err(io::Error::other)?;
+    let shaken = tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await;
+    let shaken = shaken.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?;
+    let mut conn = shaken.map_err(io::Error::other)?;
     while let Some(accepted) = conn.accept().await {
         let (req, respond) = accepted.map_err(io::Error::other)?;
         let (cx, open) = (cx.clone(), open.clone());
@@ -68,7 +70,8 @@
 
 impl<'a> OpenTunnel<'a> {
     fn new(cx: &Rc<Context>, open: &'a Cell<usize>) -> Option<OpenTunnel<'a>> {
-        let may_open = open.get() < MAX_TUNNELS && cx.state.borrow().phase != Phase::Closing;
+        let may_open =
+            open.get() < cx.file_shares.tunnels && cx.state.borrow().phase != Phase::Closing;
         may_open.then(|| {
             open.set(open.get() + 1);
             OpenTunnel {
