Responses of the platform's store that do not end no longer fill a host

With a chunk size or interim responses without end, memory stayed bounded, but the only thread was so busy that a request beside it took more than 1 s.

Cause: stoatjunction_net::http::call collected a body of any size. Connections to upstreams and callers have had a limit of bytes without progress (read_limit), calls had none.

Change: a call takes at most 8 MB; read_limit is a module of stoatjunction_net, and calls use it. The buffer of a connection is 64 KB in place of the library's 400 KB.

Ruled out: heads, lines without end, chunk extensions and trailers were bounded by the HTTP library before (green).

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -16,13 +16,13 @@
 use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::start_reports::StartReport;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::read_limit::CountedBody;
 
 use crate::clock;
 use crate::connection_pool::Connection;
 use crate::crash::{self, Break, UsedConnection};
 use crate::header_names::HeaderNames;
 use crate::placement::Placement;
-use crate::read_limit::CountedBody;
 use crate::start_reports;
 use crate::state::Context;
 use crate::statements;
--- a/stoatjunction_entry/src/buffered.rs
+++ b/stoatjunction_entry/src/buffered.rs
@@ -7,10 +7,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use stoatjunction_core::entry::memory_budget::MemoryBudget;
+use stoatjunction_net::read_limit::CountedBody;
 use thiserror::Error;
 
 use crate::held_body::{CHUNK_OVERHEAD_BYTES, hold};
-use crate::read_limit::CountedBody;
 
 /// Largest response that is held.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
--- a/stoatjunction_entry/src/caller_body.rs
+++ b/stoatjunction_entry/src/caller_body.rs
@@ -13,9 +13,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use stoatjunction_net::read_limit::CountedBody;
 use tokio::sync::Notify;
 
-use crate::read_limit::CountedBody;
 use crate::state::Context;
 
 /// Longest time for which the rest of a body is read.
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -10,11 +10,11 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::read_limit::{LimitedConnection, ReadCounter};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
 use crate::clock;
-use crate::read_limit::{LimitedConnection, ReadCounter};
 use crate::sockets;
 use crate::tunnel_stream::TunnelStream;
 
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -6,11 +6,11 @@
 
 use stoatjunction_core::entry::crash::{Cause, Crash, CrashedRun};
 use stoatjunction_core::time::Time;
+use stoatjunction_net::read_limit::ReadCounter;
 
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::connection_pool::CONNECT_TIMEOUT;
-use crate::read_limit::ReadCounter;
 use crate::state::Context;
 use crate::upstream_connections;
 
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -15,6 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -22,7 +23,6 @@
 use crate::caller_body::{CallerBody, Discards};
 use crate::clock;
 use crate::forward;
-use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 use crate::stream_buffer::CallerConnection;
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -39,7 +39,6 @@
 mod placement;
 mod pressure;
 mod protocol;
-mod read_limit;
 mod refusal;
 mod relay;
 mod rendezvous;
--- a/stoatjunction_entry/src/start_reports.rs
+++ b/stoatjunction_entry/src/start_reports.rs
@@ -14,13 +14,13 @@
 use stoatjunction_core::entry::pool::Pool;
 use stoatjunction_core::entry::start_reports::{ListKnowledge, StartReport, StartReports};
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::read_limit::CountedBody;
 use tokio::sync::Mutex;
 
 use crate::attempt::UpstreamTarget;
 use crate::clock;
 use crate::connection_pool::Connection;
 use crate::placement::Placement;
-use crate::read_limit::CountedBody;
 use crate::state::{Context, SharedState};
 use crate::upstream_connections;
 
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -11,12 +11,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use stoatjunction_core::entry::reachability::{PROBE_INTERVAL, Reachability};
 use stoatjunction_core::time::Time;
+use stoatjunction_net::read_limit::CountedBody;
 use tokio::sync::Mutex;
 
 use crate::attempt::UpstreamTarget;
 use crate::clock;
 use crate::connection_pool::{self, Connection};
-use crate::read_limit::CountedBody;
 use crate::state::Context;
 use crate::tunnels;
 
--- a/stoatjunction_net/src/http.rs
+++ b/stoatjunction_net/src/http.rs
@@ -10,16 +10,24 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
+
+/// Largest response to a call in bytes. Lists come in pages of about one megabyte.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Buffer of a connection in bytes, which bounds the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Error of a streamed body.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// A body that is either in memory or streamed.
@@ -67,10 +75,24 @@
 /// An I/O error if the connection is refused or not open within `timeout`. No part of a request has
 /// been written in that case.
 pub async fn connect(addr: &str, timeout: Duration) -> io::Result<SendRequest<Body>> {
+    let stream = open(addr, timeout).await?;
+    handshake(stream).await
+}
+
+async fn open(addr: &str, timeout: Duration) -> io::Result<TcpStream> {
     let opened = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
     let stream = opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
-    let (sender, conn) = http1::handshake(TokioIo::new(stream))
+    Ok(stream)
+}
+
+async fn handshake<T>(stream: T) -> io::Result<SendRequest<Body>>
+where
+    T: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     tokio::spawn(async move {
@@ -83,16 +105,19 @@
 ///
 /// # Errors
 ///
-/// An I/O error if the connection fails, the response is incomplete, or `timeout` expires.
+/// An I/O error if the connection fails, the response is incomplete or too large, or `timeout` expires.
 pub async fn call(
     addr: &str,
     req: Request<Body>,
     timeout: Duration,
 ) -> io::Result<Response<Bytes>> {
     let exchange = async {
-        let mut sender = connect(addr, timeout).await?;
+        let counter = ReadCounter::default();
+        let stream = LimitedConnection::new(open(addr, timeout).await?, counter.clone());
+        let mut sender = handshake(stream).await?;
         let res = sender.send_request(req).await.map_err(io::Error::other)?;
         let (head, body) = res.into_parts();
+        let body = Limited::new(CountedBody::new(body, &counter), MAX_RESPONSE_BYTES);
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
         Ok(Response::from_parts(head, body))
     };
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod metrics;
 pub mod platform;
 pub mod prelude;
+pub mod read_limit;
 pub mod settings;
 pub mod stop;
--- a/stoatjunction_entry/src/read_limit.rs
+++ b/stoatjunction_net/src/read_limit.rs
@@ -21,30 +21,30 @@
 
 /// Bytes that were read from a connection since the last progress.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ReadCounter(Arc<AtomicUsize>);
+pub struct ReadCounter(Arc<AtomicUsize>);
 
 impl ReadCounter {
     /// Records progress.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         self.0.store(0, Ordering::Relaxed);
     }
 
     /// Returns whether anything was read since the last progress.
-    pub(crate) fn has_read(&self) -> bool {
+    pub fn has_read(&self) -> bool {
         self.0.load(Ordering::Relaxed) > 0
     }
 }
 
 /// A connection whose reads are limited.
 #[derive(Debug)]
-pub(crate) struct LimitedConnection<T> {
+pub struct LimitedConnection<T> {
     io: T,
     counter: ReadCounter,
 }
 
 impl<T> LimitedConnection<T> {
     /// Limits the reads of a connection. The counter has to be reset with each progress.
-    pub(crate) fn new(io: T, counter: ReadCounter) -> LimitedConnection<T> {
+    pub fn new(io: T, counter: ReadCounter) -> LimitedConnection<T> {
         LimitedConnection { io, counter }
     }
 }
@@ -105,14 +105,14 @@
 
 /// The body of a message, whose data is progress.
 #[derive(Debug)]
-pub(crate) struct CountedBody {
+pub struct CountedBody {
     body: Incoming,
     counter: ReadCounter,
 }
 
 impl CountedBody {
     /// Creates the body of a message whose head was just read.
-    pub(crate) fn new(body: Incoming, counter: &ReadCounter) -> CountedBody {
+    pub fn new(body: Incoming, counter: &ReadCounter) -> CountedBody {
         counter.reset();
         CountedBody {
             body,
--- a/stoatjunction_standin/src/endless.rs
+++ b/stoatjunction_standin/src/endless.rs
@@ -33,6 +33,24 @@
         EndlessPart::Event => (format!("{event_stream}7fffffff\r\ndata: "), "x"),
         EndlessPart::Body => (format!("{head}\r\n"), "x"),
         EndlessPart::Trailers => (format!("{chunked}0\r\n"), "X-More: 0123456789abcdef\r\n"),
+        EndlessPart::Line => (String::new(), "x"),
+        EndlessPart::SmallHeaders => (head.to_owned(), "a:b\r\n"),
+        EndlessPart::FoldedHeader => (format!("{head}X-More: a\r\n"), " more\r\n"),
+        EndlessPart::ChunkExtension => (format!("{chunked}1"), ";a=b"),
+        EndlessPart::LongBody => {
+            let length = format!("Content-Length: {}", u64::MAX / 2);
+            (format!("{head}{length}\r\n\r\n"), "x")
+        }
+        EndlessPart::ErrorBody => {
+            let head = head.replace("200 OK", "500 Internal Server Error");
+            (format!("{head}\r\n"), "x")
+        }
+        EndlessPart::AfterBody => (format!("{head}Content-Length: 2\r\n\r\nok"), "x"),
+        EndlessPart::AfterLastChunk => (format!("{chunked}2\r\nok\r\n0\r\n\r\n"), "x"),
+        EndlessPart::AfterNoContent => {
+            let head = head.replace("200 OK", "204 No Content");
+            (format!("{head}\r\n"), "x")
+        }
     };
     stream.write_all(beginning.as_bytes()).await?;
     match pace {
--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod defect;
 pub mod drawn_stream;
 mod endless;
+pub mod endless_store;
 pub mod engine;
 pub mod faulty_reply;
 pub mod host_list;
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -104,6 +104,24 @@
     Body,
     /// Trailers after the last chunk.
     Trailers,
+    /// Bytes that are no HTTP and have no line end, in place of a response.
+    Line,
+    /// Headers of a few bytes each.
+    SmallHeaders,
+    /// Lines that continue a header.
+    FoldedHeader,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// A body of a huge length.
+    LongBody,
+    /// The body of a response with status 500.
+    ErrorBody,
+    /// Bytes after a whole response with a length.
+    AfterBody,
+    /// Bytes after the last chunk of a whole response.
+    AfterLastChunk,
+    /// Bytes after a response that has no body.
+    AfterNoContent,
 }
 
 /// How fast an endless part is sent.
