Requests without end on the ports for the balancer and monitoring no longer fill a host

What callers saw: 250 connections to the port for readiness checks or for metrics that send a line without end took 74,252 kB and 86,928 kB of a host whose whole memory may be 88 MB. A connection that sends nothing stayed open for ever and kept a file descriptor, of which callers' connections need their part.

Cause: both served the HTTP library's default of 400 KB for each head, any number of connections, and no time-out: the library has one only if it is given a timer.

--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -23,6 +23,7 @@
 use crate::caller_body::{CallerBody, Discards};
 use crate::clock;
 use crate::forward;
+use crate::probe_server;
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 use crate::stream_buffer::CallerConnection;
@@ -294,21 +295,11 @@
 
 /// Answers the balancer's readiness checks until the process ends.
 pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let cx = cx.clone();
-        let service = service_fn(move |_| {
-            let ready = cx.state.borrow().is_ready(clock::now());
-            async move { Ok::<_, Infallible>(readiness_response(ready)) }
-        });
-        tokio::task::spawn_local(async move {
-            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ended_by_either_side = conn.await;
-        });
-    }
+    let respond = move |_: &Request<Incoming>| {
+        let is_ready = cx.state.borrow().is_ready(clock::now());
+        readiness_response(is_ready)
+    };
+    probe_server::serve(listener, "readiness", respond).await;
 }
 
 fn readiness_response(ready: bool) -> Response<Body> {
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod notice_reports;
 mod placement;
 mod pressure;
+mod probe_server;
 mod protocol;
 mod refusal;
 mod relay;
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -1,7 +1,6 @@
 //! Metrics of the daemon, in the text form that monitoring tools read.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::fmt::Write;
 use std::io;
 use std::rc::Rc;
@@ -10,9 +9,6 @@
 use http::header::CONTENT_TYPE;
 use http::{Request, Response};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use indexmap::{IndexMap, IndexSet};
 use stoatjunction_core::entry::capacity_reports::CapacitySummary;
 use stoatjunction_core::entry::config::RouteKind;
@@ -26,6 +22,7 @@
 use crate::clock;
 use crate::explain_placement;
 use crate::host_protocols;
+use crate::probe_server;
 use crate::rollouts;
 use crate::state::{Context, SharedState};
 
@@ -168,32 +165,11 @@
 /// Serves the metrics for as long as the daemon runs.
 pub(crate) async fn serve(cx: Rc<Context>, listener: TcpListener) {
     let limit = Rc::new(RefCell::new(QueryLimit::default()));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("event=metrics_accept_failed reason={e}");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
-        let (cx, limit) = (cx.clone(), limit.clone());
-        let service = service_fn(move |req: Request<Incoming>| {
-            let res = match req.uri().path() {
-                explain_placement::PATH => {
-                    explain_placement::respond(&cx, &limit, req.uri().query())
-                }
-                _ => respond(&cx),
-            };
-            async move { Ok::<_, Infallible>(res) }
-        });
-        tokio::task::spawn_local(async move {
-            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = conn.await {
-                log::debug!("event=metrics_connection_failed reason=\"{e}\"");
-            }
-        });
-    }
+    let respond = move |req: &Request<Incoming>| match req.uri().path() {
+        explain_placement::PATH => explain_placement::respond(&cx, &limit, req.uri().query()),
+        _ => respond(&cx),
+    };
+    probe_server::serve(listener, "metrics", respond).await;
 }
 
 fn respond(cx: &Context) -> Response<Body> {
