Header lists without end between hosts no longer fill a host

Cause: the HTTP/2 library keeps up to 16 MB of a list of headers for each connection unless it is told otherwise.

Ruled out: PING and SETTINGS frames without end to a peer that reads nothing (green before).

--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -20,7 +20,7 @@
 use crate::protocol::Extension;
 use crate::rollout_reports::{self, RolloutReport};
 use crate::rollouts;
-use crate::sockets;
+use crate::sockets::{self, MAX_HEADER_LIST_BYTES};
 use crate::state::{ConfigurationSource, Context, SharedState};
 
 #[cfg(test)]
@@ -125,9 +125,10 @@
 }
 
 async fn send(cx: &Context, stream: TcpStream) -> io::Result<()> {
-    let mut conn = h2::server::handshake(stream)
-        .await
-        .map_err(io::Error::other)?;
+    let handshake = h2::server::Builder::new()
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .handshake(stream);
+    let mut conn = handshake.await.map_err(io::Error::other)?;
     // A transfer lasts until the other host closes the connection.
     let mut transfers = Vec::new();
     while let Some(accepted) = conn.accept().await {
@@ -260,6 +261,7 @@
     let handshake = h2::client::Builder::new()
         .initial_window_size(MAX_SNAPSHOT_BYTES as u32)
         .initial_connection_window_size(MAX_SNAPSHOT_BYTES as u32)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .handshake::<_, Bytes>(stream)
         .await;
     let (sender, conn) = handshake.map_err(io::Error::other)?;
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -26,6 +26,8 @@
 const TCP_SYN_ACK: u32 = 0x12;
 /// Number of connections that may wait to be accepted; a full queue delays callers by seconds.
 const ACCEPT_BACKLOG: i32 = 1_024;
+/// Largest list of headers between hosts in bytes. The HTTP/2 library keeps 16 MB by itself.
+pub(crate) const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
 /// Interval for opening a socket that could not be opened.
 const OPEN_INTERVAL: Duration = Duration::from_millis(50);
 /// Attempts to open a socket of which one is logged.
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -13,7 +13,7 @@
 
 use crate::attempt::UpstreamTarget;
 use crate::connection_pool::CONNECT_TIMEOUT;
-use crate::sockets;
+use crate::sockets::{self, MAX_HEADER_LIST_BYTES};
 use crate::state::{Context, InProgress, Phase};
 use crate::tunnel_stream::TunnelStream;
 use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
@@ -45,6 +45,7 @@
     sockets::set_options(&stream)?;
     let handshake = h2::server::Builder::new()
         .initial_connection_window_size(WINDOW_BYTES)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .max_concurrent_streams(MAX_STREAMS)
         .handshake(stream);
     let mut conn = handshake.await.map_err(io::Error::other)?;
--- a/stoatjunction_entry/src/tunnels.rs
+++ b/stoatjunction_entry/src/tunnels.rs
@@ -15,7 +15,7 @@
 use crate::attempt::UpstreamTarget;
 use crate::clock;
 use crate::connection_pool::CONNECT_TIMEOUT;
-use crate::sockets;
+use crate::sockets::{self, MAX_HEADER_LIST_BYTES};
 use crate::state::Context;
 use crate::tunnel_stream::TunnelStream;
 
@@ -159,6 +159,7 @@
     let stream = sockets::connect(&addr, CONNECT_TIMEOUT).await?;
     let handshake = h2::client::Builder::new()
         .initial_connection_window_size(WINDOW_BYTES)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .enable_push(false)
         .handshake(stream);
     let (sender, conn) = handshake.await.map_err(io::Error::other)?;
