--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexMap;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::occurrences::Occurrences;
+use stoatjunction_net::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -25,8 +26,7 @@
 use crate::caller_body::{CallerBody, Discards};
 use crate::clock;
 use crate::forward;
-use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
-use crate::recent_connections::RecentConnections;
+use crate::probe_server;
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 use crate::stream_buffer::CallerConnection;
@@ -356,20 +356,12 @@
 
 /// Answers the balancer's readiness checks until the process ends.
 pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
-    let mut errors = SocketErrors::new("readiness");
-    let mut connections = RecentConnections::new(cx.file_shares.checks);
-    loop {
-        let (stream, _) = errors.accept(&listener).await;
-        let cx = cx.clone();
-        let service = service_fn(move |_| {
-            let ready = cx.state.borrow().is_ready(clock::now());
-            async move { Ok::<_, Infallible>(readiness_response(ready)) }
-        });
-        connections.serve(async move {
-            let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ended_by_either_side = conn.await;
-        });
-    }
+    let max_open = cx.file_shares.checks;
+    let respond = move |_: &Request<Incoming>| {
+        let is_ready = cx.state.borrow().is_ready(clock::now());
+        readiness_response(is_ready)
+    };
+    probe_server::serve(listener, "readiness", max_open, respond).await;
 }
 
 fn readiness_response(ready: bool) -> Response<Body> {
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod open_files;
 pub mod platform;
 pub mod prelude;
+pub mod read_limit;
 pub mod settings;
 pub mod socket_errors;
 pub mod stop;
