Datagrams that cannot be decoded are logged once a second

What callers saw: nothing yet; found beside the loops on sockets. Warnings are not limited, and each datagram that could not be decoded got one, so that whoever sends to the port of heartbeats decides how much a host writes.

Change: one line a second carries the number since the last (event=message_decode_failed count=); the metric counts each as before.

--- a/stoatjunction_entry/src/host_protocols.rs
+++ b/stoatjunction_entry/src/host_protocols.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
+use std::time::Instant;
 
 use bincode::error::DecodeError;
 use stoatjunction_core::time::Time;
@@ -73,7 +74,9 @@
     let known = state.peers.get(&sender);
     let is_read = known.is_some_and(|p| !state.is_unreachable(p, now));
     if is_read || !HostMessage::is_heartbeat(bytes) {
-        log::warn!("event=message_decode_failed from={sender} reason={error}");
+        if let Some(count) = cx.undecodable.borrow_mut().record(Instant::now()) {
+            log::warn!("event=message_decode_failed from={sender} count={count} reason={error}");
+        }
         cx.metrics.count("messages_undecodable", &[]);
         return;
     }
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -30,6 +30,7 @@
 use stoatjunction_core::entry::upstream_notices::EarlyNotices;
 use stoatjunction_core::hash;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::occurrences::Occurrences;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
@@ -198,6 +199,8 @@
     pub(crate) metrics: EntryMetrics,
     /// Socket for messages between hosts, once it is bound.
     pub(crate) gossip_socket: OnceCell<UdpSocket>,
+    /// Messages of other hosts that could not be decoded.
+    pub(crate) undecodable: RefCell<Occurrences>,
     /// Wakes the gossip task to send a heartbeat soon.
     pub(crate) gossip_wakeup: Notify,
     /// Wakes the task that decides on waiting requests, when the first one waits.
@@ -284,6 +287,7 @@
             tunnels: Tunnels::default(),
             metrics,
             gossip_socket: OnceCell::new(),
+            undecodable: RefCell::default(),
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
