Events that upstreams do not end no longer fill a host

What callers saw: 200 streams at a host of 88 MB whose upstreams send an event without end. The host kept up to a megabyte of each: 125,472 kB, and 140,784 kB where each upstream sends a megabyte at once. The platform ends such a process, and with it the requests of all others.

Cause: what the event filter keeps of an event that is not complete did not count towards the budget for bodies.

Change: it counts, by the capacity of its buffer, up to two tenths of the budget beside all other bodies, so that slow callers keep no event of others from being completed. Up to 16 KB are kept in any case. While there is no memory, nothing is read from the upstream; an event of more than 64 KB is given up at once and a smaller one after 2 s, as plain responses are (wait_for_memory, which both share now). An empty buffer is freed.

--- a/stoatjunction_core/src/entry/memory_budget.rs
+++ b/stoatjunction_core/src/entry/memory_budget.rs
@@ -14,6 +14,9 @@
 const PLAIN_TENTHS: usize = 4;
 /// The same for streams. Together with plain responses they leave a part to requests, however slowly callers read.
 const STREAM_TENTHS: usize = 4;
+/// The same for events that are not complete yet, beside all other bodies: callers that read slowly keep no event of others
+/// from being completed.
+const EVENT_TENTHS: usize = 2;
 /// Bytes that a stream may hold, however many streams there are.
 pub const MIN_STREAM_BYTES: usize = 64 << 10;
 
@@ -29,13 +32,14 @@
     Request,
     Plain,
     Stream,
+    Event,
 }
 
 #[derive(Debug)]
 struct Counters {
     limit: usize,
     /// Bytes that are held, by kind.
-    held: [AtomicUsize; 3],
+    held: [AtomicUsize; 4],
     streams: AtomicUsize,
 }
 
@@ -58,10 +62,11 @@
         self.0.limit
     }
 
-    /// Returns the bytes that are held.
+    /// Returns the bytes that are held, without incomplete events.
     pub fn held(&self) -> usize {
-        let held = self.0.held.iter();
-        held.map(|h| h.load(Ordering::Relaxed)).sum()
+        let others = [Kind::Request, Kind::Plain, Kind::Stream].into_iter();
+        let held = others.map(|kind| self.held_by(kind).load(Ordering::Relaxed));
+        held.sum()
     }
 
     fn held_by(&self, kind: Kind) -> &AtomicUsize {
@@ -88,6 +93,11 @@
         HeldBytes::new(self, Kind::Stream)
     }
 
+    /// Creates an empty account of an event that is not complete yet.
+    pub fn event(&self) -> HeldBytes {
+        HeldBytes::new(self, Kind::Event)
+    }
+
     /// Counts a stream until the result is dropped.
     pub fn begin_stream(&self) -> StreamShare {
         self.0.streams.fetch_add(1, Ordering::Relaxed);
@@ -100,13 +110,15 @@
             Kind::Request => REQUEST_TENTHS,
             Kind::Plain => PLAIN_TENTHS,
             Kind::Stream => STREAM_TENTHS,
+            Kind::Event => EVENT_TENTHS,
         };
         self.limit() / 10 * tenths
     }
 
     fn fits(&self, kind: Kind, bytes: usize) -> bool {
         let held = self.held_by(kind).load(Ordering::Relaxed);
-        held + bytes <= self.limit_of(kind) && self.held() + bytes <= self.limit()
+        let fits_beside_others = kind == Kind::Event || self.held() + bytes <= self.limit();
+        held + bytes <= self.limit_of(kind) && fits_beside_others
     }
 }
 
@@ -142,6 +154,21 @@
         held.fetch_add(bytes, Ordering::Relaxed);
         self.bytes += bytes;
     }
+
+    /// Changes the number of bytes to `bytes`, if those that are added fit or `is_certain`, and returns whether it did.
+    pub fn try_set(&mut self, bytes: usize, is_certain: bool) -> bool {
+        let added = bytes.saturating_sub(self.bytes);
+        if is_certain {
+            self.add(added);
+        } else if added > 0 && !self.try_add(added) {
+            return false;
+        }
+        let removed = self.bytes - bytes;
+        let held = self.budget.held_by(self.kind);
+        held.fetch_sub(removed, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
 }
 
 impl Drop for HeldBytes {
--- a/stoatjunction_core/tests/entry_room.rs
+++ b/stoatjunction_core/tests/entry_room.rs
@@ -483,3 +483,21 @@
     drop(others);
     assert!(share.has_room(1, 1));
 }
+
+/// Guards against incomplete events that fill the memory, and against those that find none because callers read slowly.
+#[test]
+fn incomplete_events_have_memory_of_their_own() {
+    let budget = MemoryBudget::new(1_000);
+    let mut others = budget.stream_part();
+    others.add(1_000);
+    let (mut event, mut small) = (budget.event(), budget.event());
+
+    assert!(event.try_set(200, false));
+    assert!(!event.try_set(201, false));
+    assert!(!small.try_set(1, false));
+    assert!(small.try_set(100, true));
+    assert!(event.try_set(50, false));
+    assert!(small.try_set(150, false));
+    assert!(!small.try_set(151, false));
+    assert_eq!(budget.held(), 1_000);
+}
--- a/stoatjunction_entry/src/buffered.rs
+++ b/stoatjunction_entry/src/buffered.rs
@@ -2,7 +2,6 @@
 //! bodies, since upstreams in trouble may send without end and callers may not read.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -10,15 +9,10 @@
 use stoatjunction_net::read_limit::CountedBody;
 use thiserror::Error;
 
-use crate::held_body::{CHUNK_OVERHEAD_BYTES, hold};
+use crate::held_body::{CHUNK_OVERHEAD_BYTES, hold, wait_for_memory};
 
 /// Largest response that is held.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Largest response that waits for memory; a larger one is given up at once.
-const MAX_WAITING_BYTES: u64 = 64 << 10;
-/// Checks for memory that other bodies have left before a response is given up, and the time between them.
-const MAX_ROOM_CHECKS: u32 = 40;
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a response was not held to its end.
 #[derive(Debug, Error)]
@@ -92,14 +86,9 @@
             return Err(CollectError::TooLarge);
         }
         let mut held = budget.plain_response();
-        let mut checks = 0;
-        while !held.try_add(data.len() + CHUNK_OVERHEAD_BYTES) {
-            checks += 1;
-            // Large responses give way to small ones.
-            if checks > MAX_ROOM_CHECKS || content.len() > MAX_WAITING_BYTES {
-                return Err(CollectError::NoMemory);
-            }
-            tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
+        let try_hold = || held.try_add(data.len() + CHUNK_OVERHEAD_BYTES);
+        if !wait_for_memory(content.len() as usize, try_hold).await {
+            return Err(CollectError::NoMemory);
         }
         // A copy, so that a small part does not keep the buffer of the connection in memory.
         content.push(hold(Bytes::copy_from_slice(&data), held));
--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -89,7 +89,7 @@
 
     /// Prepares for another upstream's stream, which resumes after the last event. From then on gaps are refused.
     pub fn restart(&mut self) {
-        self.buf.clear();
+        self.clear();
         self.begins_segment = true;
         self.resumed_after = Some(self.last);
     }
@@ -99,6 +99,15 @@
         self.resumed_after.is_none_or(|last| self.last > last)
     }
 
+    /// Returns the memory of the last event, which is not complete yet, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.capacity()
+    }
+
+    fn clear(&mut self) {
+        self.buf = BytesMut::new();
+    }
+
     /// Adds received bytes and returns the complete events that are new.
     pub fn push_bytes(&mut self, bytes: &[u8]) -> NewEvents {
         self.buf.extend_from_slice(bytes);
@@ -125,6 +134,9 @@
                 new.extend_from_slice(&event);
             }
         }
+        if self.buf.is_empty() {
+            self.clear();
+        }
         if self.buf.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLarge);
         }
--- a/stoatjunction_entry/src/held_body.rs
+++ b/stoatjunction_entry/src/held_body.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -16,6 +17,11 @@
 
 /// Memory of a chunk beside its content.
 pub(crate) const CHUNK_OVERHEAD_BYTES: usize = 128;
+/// Largest content that waits for memory; what is larger is given up at once.
+const MAX_WAITING_BYTES: usize = 64 << 10;
+/// Checks for memory that other bodies have left before content is given up, and the time between them.
+const MAX_ROOM_CHECKS: u32 = 40;
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Retry-after of a request whose body does not fit in the memory of this host.
 const NO_MEMORY_RETRY_AFTER: Span = Span::from_millis(500);
 
@@ -57,6 +63,22 @@
     }
 }
 
+/// Calls `try_hold` until there is memory, and returns whether there is. Large content gives way to small content at once.
+pub(crate) async fn wait_for_memory<F>(len: usize, mut try_hold: F) -> bool
+where
+    F: FnMut() -> bool,
+{
+    let mut checks = 0;
+    while !try_hold() {
+        checks += 1;
+        if checks > MAX_ROOM_CHECKS || len > MAX_WAITING_BYTES {
+            return false;
+        }
+        tokio::time::sleep(ROOM_CHECK_INTERVAL).await;
+    }
+    true
+}
+
 /// Returns the content, which is held in `held` from now on.
 pub(crate) fn hold(content: Bytes, held: HeldBytes) -> Bytes {
     Bytes::from_owner(HeldContent {
--- a/stoatjunction_entry/src/stream.rs
+++ b/stoatjunction_entry/src/stream.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::memory_budget::HeldBytes;
 use stoatjunction_core::entry::pool::{PlacementRequest, UpstreamKey};
 use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::start_reports::StartReport;
@@ -18,6 +19,7 @@
 use crate::clock;
 use crate::crash::Break;
 use crate::event_filter::EventFilter;
+use crate::held_body::wait_for_memory;
 use crate::metrics::RequestLabels;
 use crate::placement::Placement;
 use crate::start_reports;
@@ -63,6 +65,8 @@
     Unconfirmed,
     /// The upstream ended a response that was not read for a while, since the caller took nothing.
     Unread,
+    /// There was no memory for an event of the upstream.
+    NoMemory,
     /// No events for too long; a slot on another upstream is taken.
     TimedOut(Box<Placement>),
     CallerGone,
@@ -79,6 +83,9 @@
 /// Time without an event after which a stream times out when its route has no target gap.
 const DEFAULT_EVENT_TIMEOUT: Span = Span::from_millis(1_500);
 
+/// Memory in bytes that an incomplete event always gets, so that common events are never given up for large ones.
+const SMALL_EVENT_BYTES: usize = 16 * 1024;
+
 impl StreamForwarder {
     /// Forwards the stream to its end.
     pub(crate) async fn run(
@@ -159,6 +166,10 @@
                     drop(placement);
                     self.log_end("unread_in_stream", &target, body_end);
                 }
+                SegmentEnd::NoMemory => {
+                    drop(placement);
+                    self.log_end("no_memory_in_stream", &target, body_end);
+                }
                 SegmentEnd::TimedOut(other) => {
                     next = Some(*other);
                     placement.end(RunOutcome::TimedOut);
@@ -221,6 +232,7 @@
         placement.set_silence_limit(self.target_gap.unwrap_or(DEFAULT_EVENT_TIMEOUT));
         let blocked_before = self.tx.blocked();
         let mut has_events = false;
+        let mut incomplete_event = self.cx.memory.event();
         let mut last_event_at = clock::now();
         let event_timer = tokio::time::sleep_until(clock::instant(last_event_at + event_timeout));
         tokio::pin!(deadline, event_timer);
@@ -296,6 +308,22 @@
                 placement.record.mark_invalid();
                 return SegmentEnd::Broken;
             }
+            if let Err(end) = self.hold_event(&mut incomplete_event).await {
+                return end;
+            }
+        }
+    }
+
+    /// Holds memory for the event that is not complete yet. While there is none, nothing is read from the upstream.
+    async fn hold_event(&self, held: &mut HeldBytes) -> Result<(), SegmentEnd> {
+        let bytes = self.event_filter.buffered_bytes();
+        let is_small = bytes <= SMALL_EVENT_BYTES;
+        let has_memory = wait_for_memory(bytes, || held.try_set(bytes, is_small));
+        tokio::select! {
+            biased;
+            has_memory = has_memory => has_memory.then_some(()).ok_or(SegmentEnd::NoMemory),
+            () = self.tx.closed() => Err(SegmentEnd::CallerGone),
+            () = tokio::time::sleep_until(clock::instant(self.deadline)) => Err(SegmentEnd::TooLate),
         }
     }
 
--- a/stoatjunction_standin/src/endless.rs
+++ b/stoatjunction_standin/src/endless.rs
@@ -10,6 +10,8 @@
 
 /// Bytes that are written at once when sending fast.
 const BLOCK_BYTES: usize = 16 * 1024;
+/// Bytes of a large event that are sent at once.
+const LARGE_EVENT_BYTES: usize = 1_000_000;
 
 /// Sends a response that begins with `head` and whose part never ends, until the peer closes the
 /// connection.
@@ -27,10 +29,15 @@
     let event_stream =
         format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     let (beginning, repeated) = match part {
+        EndlessPart::SmallChunks => (format!("{event_stream}6\r\ndata: \r\n"), "1\r\nx\r\n"),
         EndlessPart::Head => (head.to_owned(), "X-More: 0123456789abcdef\r\n"),
         EndlessPart::Interim => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
         EndlessPart::ChunkSize => (chunked, "0"),
         EndlessPart::Event => (format!("{event_stream}7fffffff\r\ndata: "), "x"),
+        EndlessPart::LargeEvent => {
+            let begun = "x".repeat(LARGE_EVENT_BYTES);
+            (format!("{event_stream}7fffffff\r\ndata: {begun}"), "x")
+        }
         EndlessPart::Body => (format!("{head}\r\n"), "x"),
         EndlessPart::Trailers => (format!("{chunked}0\r\n"), "X-More: 0123456789abcdef\r\n"),
         EndlessPart::Line => (String::new(), "x"),
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -100,6 +100,10 @@
     ChunkSize,
     /// One event of a stream.
     Event,
+    /// One event of a stream, in chunks of a byte each.
+    SmallChunks,
+    /// One event of a stream, after a megabyte of it.
+    LargeEvent,
     /// A body without length.
     Body,
     /// Trailers after the last chunk.
