A response whose status is of no class is no answer

What callers saw: an upstream that answered with a status from 600 on got it through to the caller, as an answer that counts as given; a request that may be repeated was not sent to another upstream.

Cause: the HTTP library refuses a status below 100 and takes any other one of three digits; the check of a response's head knew interim ones only.

Ruled out, by the same tests before the change: status 000, 001 and 099, 100 and 199 without a final response, 101, two and four digits, a sign, letters, none, and HTTP/0.9, 1.2 and 2.0 in the status line get 502, also with a header that says that nothing ran, and requests that may be repeated are sent twice. A missing reason and lines that end with a line feed are taken. An early part of an answer, while a request of 7 MB is being written, never counts as whole: without length, chunked and with a length; reset, closed with unread bytes and by the end of the process; HTTP/1.0, kept and closed; requests with a length, in chunks and small; callers of HTTP/1.0; all kinds of routes; cuts at, between and within events.

Change: a status above 599 makes a response invalid, as RFC 9110, 15 has it.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -359,6 +359,8 @@
     req
 }
 
+/// Largest status of a class that HTTP defines.
+const MAX_STATUS: u16 = 599;
 /// Beginning of a status line; 0 stands for any digit.
 const STATUS_LINE: &[u8] = b"HTTP/0.0 000";
 
@@ -432,6 +434,9 @@
     if status.is_informational() {
         return Some("not a final response");
     }
+    if status.as_u16() > MAX_STATUS {
+        return Some("a status of no class");
+    }
     if headers.values().any(holds_status_line) {
         return Some("a head that goes on with another one");
     }
--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod defect;
 pub mod drawn_stream;
+pub mod early_upstream;
 mod endless;
 pub mod engine;
 pub mod faulty_reply;
