A whole answer is read although the request can't be written any more

What callers saw: an upstream that answered a long upload early, whole and with a length or in chunks, and closed the connection with the rest of the upload unread, which resets it, was taken for one that broke off: 502, or another run of a request that may be repeated.

Cause: the HTTP library ends a connection at the first failed write, and with it a body that has arrived but was not handed over yet.

Ruled out: that a part counts as whole. A failed write ends a body with an error, also one without length, directly and through the tunnel of another host: shown by a_part_of_an_answer_that_ends_while_the_request_is_written_never_counts_as_whole, green before and after this change.

Change: a write to an upstream fails only once its responses have been read to the end of the connection. An end that is read after a failed write is that write's error, so that a body without length does not become whole by it, and the kind of error by which breaks are told apart stays.

Before: chunked_closed and with_length_closed of a_whole_answer_that_comes_while_the_request_is_written_reaches_its_caller fail, "safe EarlyAnswer { .. framing: Length, .. end: Closed } ReceivedPart { status: 502, body: "{"code":3001,"title":"upstream-broken","outcome":"unknown"}" .. }".

Not mended: through the tunnel of another host such an answer still gets 502.

--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -17,6 +17,7 @@
 use crate::read_limit::{LimitedConnection, ReadCounter};
 use crate::sockets;
 use crate::tunnel_stream::TunnelStream;
+use crate::upstream_io::UpstreamIo;
 
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
 /// has a full accept queue or is gone.
@@ -124,7 +125,7 @@
     T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let counter = ReadCounter::default();
-    let stream = LimitedConnection::new(stream, counter.clone());
+    let stream = LimitedConnection::new(UpstreamIo::new(stream), counter.clone());
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -65,4 +65,5 @@
 mod tunnel_stream;
 mod tunnels;
 mod upstream_connections;
+mod upstream_io;
 mod write_watch;
--- a/stoatjunction_standin/src/early_upstream.rs
+++ b/stoatjunction_standin/src/early_upstream.rs
@@ -16,8 +16,8 @@
 use crate::reserved_port::ReservedPort;
 use crate::stream_shape::{Framing, event_text};
 
-/// Path at which the upstream reports its start.
-const REPORT_PATH: &str = "/stoatjunction/report";
+/// Paths at which the upstream reports its start and its load.
+const REPORT_PATHS: [&str; 2] = ["/stoatjunction/report", "/v1/load"];
 /// Bytes that the kernel holds of a request that is not read, so that its sender waits.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes read at a time.
@@ -173,7 +173,7 @@
             }
         };
         let head = String::from_utf8_lossy(&buf[..head_end]).into_owned();
-        if head.contains(REPORT_PATH) {
+        if REPORT_PATHS.iter().any(|p| head.contains(p)) {
             return self.report(&mut stream).await;
         }
         let id = header(&head, "attempt-id").unwrap_or_default().to_owned();
@@ -191,7 +191,8 @@
     }
 
     async fn report(&self, stream: &mut TcpStream) -> io::Result<()> {
-        let body = format!("{{\"id\":\"{}\"}}", self.id);
+        let load = "\"active\":0,\"incarnation\":1,\"age_ms\":0,\"leaving\":false";
+        let body = format!("{{\"id\":\"{}\",{load}}}", self.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
             body.len()
@@ -241,7 +242,8 @@
                 tokio::time::sleep(READING_TIME).await;
                 SockRef::from(&stream).set_linger(Some(Duration::ZERO))
             }
-            EarlyEnd::Closed => Ok(()),
+            // Without unread bytes the connection would not be reset.
+            EarlyEnd::Closed => stream.peek(&mut [0]).await.map(|_| ()),
             EarlyEnd::ReadOn => {
                 stream.shutdown().await?;
                 read_bytes(&mut stream, usize::MAX, 0).await
