The gateway takes no answer without length for whole whose upstream has ended

What callers saw: a plain service whose process ended in the middle of an answer without length: the gateway sent the part on as a complete 200.

Cause: the end of a connection ends such an answer, and the kernel closes the connections of a process that ends. run.rs did not look at the framing.

Ruled out by tests that were green before: an answer without length whose connection is reset counts as broken; responses with status 000, 099, 101, 199 only, 600, 999, four digits, a sign, or HTTP/1.2 get a refusal whose outcome is unknown.

Change: after an answer that ended with its connection, the gateway asks the upstream for its load. If it takes no connection or answers nothing on it, the run is broken and the caller's response is cut. One that is late runs, as at the entry.

Before: an_answer_without_length_that_ends_with_its_upstream_never_counts_as_whole fails, "0 bytes: ClientResponse { status: 200, body: "", is_complete: true, .. }".

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_ENCODING, CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use stoatjunction_core::entry::config::RouteKind;
 use stoatjunction_core::entry::crash::Cause;
 use stoatjunction_core::entry::health::RunOutcome;
@@ -16,6 +16,7 @@
 use stoatjunction_core::entry::software_version::SoftwareVersion;
 use stoatjunction_core::entry::start_reports::StartReport;
 use stoatjunction_core::time::{Span, Time};
+use stoatjunction_net::http::ends_with_connection;
 
 use crate::clock;
 use crate::connection_pool::Connection;
@@ -107,14 +108,9 @@
 impl BodyEnd {
     /// Returns what ends the body of a response.
     fn of(res: &Response<Incoming>) -> BodyEnd {
-        let has_length = res.body().size_hint().exact().is_some();
-        let encodings = res.headers().get_all(TRANSFER_ENCODING);
-        let last = encodings.iter().next_back().and_then(|e| e.to_str().ok());
-        let last = last.and_then(|e| e.rsplit(',').next());
-        let is_chunked = last.is_some_and(|e| e.trim().eq_ignore_ascii_case("chunked"));
-        match has_length || is_chunked {
-            true => BodyEnd::Framed,
-            false => BodyEnd::Connection,
+        match ends_with_connection(res) {
+            true => BodyEnd::Connection,
+            false => BodyEnd::Framed,
         }
     }
 
--- a/stoatjunction_gateway/src/run.rs
+++ b/stoatjunction_gateway/src/run.rs
@@ -10,7 +10,7 @@
 use stoatjunction_core::life::RequestLifecycle;
 use stoatjunction_core::shard::FinishReport;
 use stoatjunction_net::bundle::{Protocol, Upstream};
-use stoatjunction_net::http::{connect, full};
+use stoatjunction_net::http::{call, connect, ends_with_connection, full};
 use stoatjunction_net::prelude::*;
 
 use crate::answer::{AnswerAssembler, ChunkParser};
@@ -31,6 +31,10 @@
 const MAX_RESUME_DELAY: Duration = Duration::from_millis(1_000);
 /// Maximum time without data before a stream is resumed again; the stall timeout doubles up to it.
 const MAX_STALL_TIMEOUT: Duration = Duration::from_secs(8);
+/// Path at which an upstream reports its load.
+const LOAD_PATH: &str = "/v1/load";
+/// Time within which an upstream reports its load, which takes no slot.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(250);
 /// Header with which an upstream reports that it did not start the request.
 const NOT_STARTED_HEADER: &str = "x-not-started";
 /// Header with which an upstream reports that it is leaving.
@@ -338,6 +342,7 @@
                 .unwrap_or("application/octet-stream")
                 .to_owned();
         }
+        let is_unframed = ends_with_connection(&res);
         let mut body = res.into_body();
         let mut parser = ChunkParser::default();
         loop {
@@ -348,6 +353,9 @@
                 Wait::Done(Some(Ok(frame))) => frame,
                 Wait::Done(Some(Err(_))) => return StreamEnd::Cut,
                 Wait::Done(None) if chunked => return StreamEnd::Cut,
+                Wait::Done(None) if is_unframed && !self.upstream_runs().await => {
+                    return StreamEnd::RunEnded(RunEnd::Broken { crashed: true });
+                }
                 Wait::Done(None) => return StreamEnd::RunEnded(self.complete(reply)),
                 Wait::Stalled => return StreamEnd::Stalled,
                 Wait::Ended(end) => return StreamEnd::RunEnded(end),
@@ -375,6 +383,20 @@
         }
     }
 
+    /// Returns whether the upstream still runs after an answer that ended with its connection: that of a process that ends
+    /// is closed as well. An upstream that takes connections and is late runs.
+    async fn upstream_runs(&self) -> bool {
+        let addr = &self.upstream.addr;
+        let req = hyper::Request::get(LOAD_PATH)
+            .header("host", addr)
+            .body(full(""));
+        let Ok(req) = req else { return false };
+        match call(addr, req, LOAD_TIMEOUT).await {
+            Ok(_) => true,
+            Err(e) => e.kind() == std::io::ErrorKind::TimedOut,
+        }
+    }
+
     async fn forward(&mut self, data: Bytes, reply: &mut Reply) -> Option<RunEnd> {
         self.first_token.get_or_insert(self.cx.clock.now());
         self.forwarded_bytes += data.len() as u64;
@@ -458,7 +480,7 @@
                 .header("host", &addr)
                 .body(full(""));
             if let Ok(req) = req {
-                let _ = stoatjunction_net::http::call(&addr, req, CONNECT_TIMEOUT).await;
+                let _ = call(&addr, req, CONNECT_TIMEOUT).await;
             }
         });
     }
--- a/stoatjunction_net/src/http.rs
+++ b/stoatjunction_net/src/http.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as HttpBody, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -100,6 +101,17 @@
     finished.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
+/// Returns whether only the end of the connection ends the body of a response. An upstream whose process ends closes its
+/// connections as well.
+pub fn ends_with_connection(res: &Response<Incoming>) -> bool {
+    let has_length = res.body().size_hint().exact().is_some();
+    let encodings = res.headers().get_all(TRANSFER_ENCODING);
+    let last = encodings.iter().next_back().and_then(|e| e.to_str().ok());
+    let last = last.and_then(|e| e.rsplit(',').next());
+    let is_chunked = last.is_some_and(|e| e.trim().eq_ignore_ascii_case("chunked"));
+    !has_length && !is_chunked
+}
+
 /// Serves HTTP/1.1 on `listener` with `handle` until `closed` becomes true, and returns once the
 /// responses in progress are finished.
 pub async fn serve<F, Fut>(listener: TcpListener, closed: watch::Receiver<bool>, handle: F)
