A Keep-Alive timeout at the end of its range does not end the caller's connection

What callers saw, in a build with overflow checks: a response whose upstream states `Keep-Alive: timeout=` closed the caller's connection without an answer, since the task of the connection panicked. A release build wraps instead: the idle timeout may come out shorter, never longer than the default. No release build was run.

Found by new tests that give a running host values at the ends of their ranges and beyond: from configurations, entries of the store, requests, responses and datagrams (recorded messages with large numbers in them, or cut off), and bytes without meaning at each of its ports. After them the hosts must hear each other, take a new configuration, and have logged no panic.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -499,5 +499,5 @@
         .split(',')
         .find_map(|p| p.trim().strip_prefix("timeout="))?;
     let seconds: u64 = value.trim().parse().ok()?;
-    Some(Span::from_millis(seconds * 1_000))
+    Some(Span::from_millis(seconds.saturating_mul(1_000)))
 }
