Token counts at the end of their range do not end the caller's connection

What callers saw, in a build with overflow checks: after requests with `Token-Counts:,...` the usage of the organisation no longer fitted its counter, and each further request of that kind closed the connection without an answer:

event=panic thread=main place=stoatjunction_core/src/entry/rate_limiter.rs:165:9 message="attempt to add with overflow"

A release build wraps there, by reading: the total that other hosts compare falls, so that they would take the organisation's usage for none. No release build was run.

A count is taken as 2^32-1 tokens at most now, so that sums over requests stay in their range; the header reaches the upstream as the caller sent it.

--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -50,6 +50,8 @@
 /// Fraction of the target latency that placement plans with; the rest covers the network to the
 /// caller and forecast errors.
 const PLANNED_LATENCY_FRACTION: f64 = 0.92;
+/// Tokens that a request counts at most, so that sums over requests stay in their range.
+const MAX_TOKENS: u64 = u32::MAX as u64;
 
 /// Admitted request.
 pub(crate) struct AdmittedRequest {
@@ -336,10 +338,11 @@
     token_counts(value.to_str().ok()?)
 }
 
-/// Reads the numbers of prompt tokens and of maximum output tokens.
+/// Reads the numbers of prompt tokens and of maximum output tokens, each up to [`MAX_TOKENS`].
 pub(crate) fn token_counts(text: &str) -> Option<(u64, u64)> {
+    let tokens = |text: &str| text.trim().parse().ok().map(|n: u64| n.min(MAX_TOKENS));
     let (input, output) = text.split_once(',')?;
-    Some((input.trim().parse().ok()?, output.trim().parse().ok()?))
+    Some((tokens(input)?, tokens(output)?))
 }
 
 fn parse_prompt_parts(value: &HeaderValue) -> Vec<PromptPart> {
