An event in small parts is searched once, not from its beginning with each part

What callers saw: an upstream that sends one event in chunks of a byte each makes a host search all that it has of the event with each chunk, up to a megabyte. The time grows with the square of the size.

Change: the filter remembers how far it has searched.

--- a/stoatjunction_entry/src/event_filter.rs
+++ b/stoatjunction_entry/src/event_filter.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 pub struct EventFilter {
     buf: BytesMut,
+    /// Start of the line in the buffer up to which no event is complete.
+    searched: usize,
     /// True until an upstream's first event is complete.
     begins_segment: bool,
     last: Option<u64>,
@@ -57,6 +59,7 @@
     fn default() -> EventFilter {
         EventFilter {
             buf: BytesMut::new(),
+            searched: 0,
             begins_segment: true,
             last: None,
             step: None,
@@ -106,6 +109,7 @@
 
     fn clear(&mut self) {
         self.buf = BytesMut::new();
+        self.searched = 0;
     }
 
     /// Adds received bytes and returns the complete events that are new.
@@ -120,8 +124,9 @@
     }
 
     fn take_events(&mut self, new: &mut BytesMut) -> Result<(), EventError> {
-        while let Some(length) = first_event_length(&self.buf) {
+        while let Some(length) = self.first_event_length() {
             let mut event = self.buf.split_to(length);
+            self.searched = 0;
             if std::mem::take(&mut self.begins_segment) && event.starts_with(BYTE_ORDER_MARK) {
                 let mark = event.split_to(BYTE_ORDER_MARK.len());
                 // At any other place than the first it would be a part of the event.
@@ -143,6 +148,30 @@
         Ok(())
     }
 
+    /// Returns the length of the first complete event, including the blank line that ends it. Lines end by a line feed, a
+    /// carriage return, or both. A line feed that arrives after the carriage return of the blank line belongs to what
+    /// follows.
+    fn first_event_length(&mut self) -> Option<usize> {
+        let mut search_start = self.searched;
+        while let Some(length) = self.buf[search_start..]
+            .iter()
+            .position(|b| is_line_end(*b))
+        {
+            let line_end = search_start + length;
+            let next = line_end + line_end_length(&self.buf[line_end..]);
+            if self.buf.get(next).is_some_and(|b| is_line_end(*b)) {
+                return Some(next + line_end_length(&self.buf[next..]));
+            }
+            // What follows the end of the last line decides whether the event is complete.
+            self.searched = line_end;
+            search_start = next;
+        }
+        if search_start < self.buf.len() {
+            self.searched = self.buf.len();
+        }
+        None
+    }
+
     /// Checks that the stream does not end within an event.
     ///
     /// # Errors
@@ -189,21 +218,6 @@
     }
 }
 
-/// Returns the length of the first complete event, including the blank line that ends it. Lines end by a line feed, a
-/// carriage return, or both. A line feed that arrives after the carriage return of the blank line belongs to what follows.
-fn first_event_length(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    while let Some(length) = buf[line_start..].iter().position(|b| is_line_end(*b)) {
-        let line_end = line_start + length;
-        let next = line_end + line_end_length(&buf[line_end..]);
-        if buf.get(next).is_some_and(|b| is_line_end(*b)) {
-            return Some(next + line_end_length(&buf[next..]));
-        }
-        line_start = next;
-    }
-    None
-}
-
 fn is_line_end(byte: u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/stoatjunction_entry/tests/event_filter.rs
+++ b/stoatjunction_entry/tests/event_filter.rs
@@ -128,3 +128,23 @@
     assert!(new.bytes.is_empty());
     assert!(!filter.has_gone_on());
 }
+
+/// Guards against an incomplete event that is searched from its beginning with each byte.
+#[parameterized(
+    one_line = { "x" },
+    short_lines = { "x\n" },
+    carriage_returns_and_line_feeds = { "x\r\n" },
+)]
+fn a_large_event_that_comes_in_small_parts_is_read_in_linear_time(repeated: &str) {
+    let mut filter = EventFilter::default();
+    let began = std::time::Instant::now();
+
+    for _ in 0..1_000_000 / repeated.len() {
+        for byte in repeated.as_bytes() {
+            assert_eq!(filter.push_bytes(&[*byte]).error, None);
+        }
+    }
+
+    let taken = began.elapsed();
+    assert!(taken < std::time::Duration::from_secs(2), "{taken:?}");
+}
