A gateway gives up a line or chunks without end from an engine

What callers saw: an engine that sends a line without end kept the gateway busy until the deadline, and the caller got 504 after 10 s, although the answer could be taken up.

Cause: a partial line had no limit and was searched from its end with each frame; 1,024 chunks of any size were kept.

Change: 256 KB for a line, after which the answer is taken up on another connection; 1 MB for chunks behind a gap.

--- a/stoatjunction_gateway/src/answer.rs
+++ b/stoatjunction_gateway/src/answer.rs
@@ -8,6 +8,13 @@
 
 /// Maximum number of chunks that are buffered until an earlier one arrives.
 const MAX_PENDING_CHUNKS: usize = 1_024;
+/// Maximum size of the buffered chunks together in bytes.
+const MAX_PENDING_BYTES: usize = 1 << 20;
+/// Largest line of a chunk in bytes.
+const MAX_LINE_BYTES: usize = 256 << 10;
+
+#[cfg(test)]
+mod tests;
 
 /// A chunk as engines send it, one JSON object per line.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -67,7 +74,7 @@
         if chunk.end {
             self.length = Some(chunk.off + data.len() as u64);
         }
-        if !data.is_empty() && self.pending.len() < MAX_PENDING_CHUNKS {
+        if !data.is_empty() && self.has_room(chunk.off, data.len()) {
             let is_longer = self
                 .pending
                 .get(&chunk.off)
@@ -79,6 +86,13 @@
         self.drain_ready()
     }
 
+    /// Returns whether a chunk can be buffered. One that continues the answer is forwarded at once.
+    fn has_room(&self, off: u64, len: usize) -> bool {
+        let pending: usize = self.pending.values().map(Bytes::len).sum();
+        let fits = self.pending.len() < MAX_PENDING_CHUNKS && pending + len <= MAX_PENDING_BYTES;
+        off <= self.offset || fits
+    }
+
     fn drain_ready(&mut self) -> Vec<Bytes> {
         let mut chunks = Vec::new();
         while let Some(entry) = self.pending.first_entry() {
@@ -100,6 +114,10 @@
     }
 }
 
+/// Error of a line that is too long to be a chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LineTooLong;
+
 /// Parser of a stream of chunks, one per line.
 #[derive(Debug, Default)]
 pub(crate) struct ChunkParser {
@@ -109,16 +127,25 @@
 impl ChunkParser {
     /// Adds bytes and returns the chunks of all lines that are complete now. Lines that are not
     /// chunks are skipped.
-    pub(crate) fn parse(&mut self, bytes: &[u8]) -> Vec<Chunk> {
-        self.partial_line.extend_from_slice(bytes);
-        let Some(end) = self.partial_line.iter().rposition(|b| *b == b'\n') else {
-            return Vec::new();
-        };
-        let partial_line = self.partial_line.split_off(end + 1);
-        let lines = std::mem::replace(&mut self.partial_line, partial_line);
-        lines
-            .split(|b| *b == b'\n')
+    ///
+    /// # Errors
+    ///
+    /// A line is too long to be a chunk.
+    pub(crate) fn parse(&mut self, bytes: &[u8]) -> Result<Vec<Chunk>, LineTooLong> {
+        let end = bytes.iter().rposition(|b| *b == b'\n');
+        let complete = end.map_or(0, |end| end + 1);
+        let mut lines = Vec::new();
+        if complete > 0 {
+            lines = std::mem::take(&mut self.partial_line);
+            lines.extend_from_slice(&bytes[..complete]);
+        }
+        self.partial_line.extend_from_slice(&bytes[complete..]);
+        if self.partial_line.len() > MAX_LINE_BYTES {
+            return Err(LineTooLong);
+        }
+        let lines = lines.split(|b| *b == b'\n');
+        Ok(lines
             .filter_map(|l| serde_json::from_slice(l).ok())
-            .collect()
+            .collect())
     }
 }
--- a/stoatjunction_gateway/src/run.rs
+++ b/stoatjunction_gateway/src/run.rs
@@ -356,8 +356,10 @@
                 continue;
             };
             let parts = if chunked {
-                parser
-                    .parse(&data)
+                let Ok(chunks) = parser.parse(&data) else {
+                    return StreamEnd::Cut;
+                };
+                chunks
                     .into_iter()
                     .flat_map(|c| self.assembler.add(c))
                     .collect()
