--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -14,13 +14,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use indexmap::IndexMap;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::occurrences::Occurrences;
 use stoatjunction_net::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::body::Body;
 use crate::caller_body::{CallerBody, Discards};
@@ -43,7 +42,7 @@
 /// their callers count on an answer.
 pub(crate) async fn accept(cx: Rc<Context>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let callers = Callers {
-        open: Rc::default(),
+        open: Rc::new(Cell::new(0)),
         max_open: cx.file_shares.callers,
         refused: RefCell::default(),
         phase: phase.clone(),
@@ -66,7 +65,7 @@
 /// Connections of callers.
 struct Callers {
     cx: Rc<Context>,
-    open: Rc<RefCell<OpenConnections>>,
+    open: Rc<Cell<usize>>,
     max_open: usize,
     /// Connections that were closed because too many were open.
     refused: RefCell<Occurrences>,
@@ -74,28 +73,26 @@
 }
 
 impl Callers {
-    /// Serves a connection. If too many are open, it takes the place of the one that has been idle for longest; if none is
-    /// idle, it is closed.
+    /// Serves a connection, if not too many are open.
     fn admit(&self, stream: TcpStream) {
-        let mut all = self.open.borrow_mut();
-        if all.len() >= self.max_open && !all.close_longest_idle() {
-            return self.log_refused(all.len());
+        if self.open.get() >= self.max_open {
+            return self.log_refused();
         }
-        let activity = Rc::new(Activity::default());
-        let number = all.add(activity.clone());
         let open = self.open.clone();
+        open.set(open.get() + 1);
         let (cx, phase) = (self.cx.clone(), self.phase.clone());
         if *phase.borrow() != Phase::Serving {
             expect_request(&cx);
         }
         tokio::task::spawn_local(async move {
-            serve(cx, stream, phase, activity).await;
-            open.borrow_mut().remove(number);
+            serve(cx, stream, phase).await;
+            open.set(open.get() - 1);
         });
     }
 
-    fn log_refused(&self, open: usize) {
+    fn log_refused(&self) {
         if let Some(count) = self.refused.borrow_mut().record(Instant::now()) {
+            let open = self.open.get();
             log::warn!("event=too_many_connections open={open} count={count}");
         }
     }
@@ -127,44 +124,6 @@
     }
 }
 
-/// Open connections by number, but for those that make room.
-#[derive(Default)]
-struct OpenConnections {
-    by_number: IndexMap<u64, Rc<Activity>>,
-    next_number: u64,
-}
-
-impl OpenConnections {
-    fn len(&self) -> usize {
-        self.by_number.len()
-    }
-
-    fn add(&mut self, activity: Rc<Activity>) -> u64 {
-        let number = self.next_number;
-        self.next_number += 1;
-        self.by_number.insert(number, activity);
-        number
-    }
-
-    fn remove(&mut self, number: u64) {
-        self.by_number.swap_remove(&number);
-    }
-
-    /// Closes the connection that has been idle for longest. Returns false if none is idle.
-    fn close_longest_idle(&mut self) -> bool {
-        let now = clock::now();
-        let idle = self.by_number.iter().filter(|(_, a)| a.may_make_room(now));
-        let longest = idle.min_by_key(|(_, a)| a.last_used_at.get());
-        let Some(number) = longest.map(|(number, _)| *number) else {
-            return false;
-        };
-        if let Some(activity) = self.by_number.swap_remove(&number) {
-            activity.place_is_needed.notify_one();
-        }
-        true
-    }
-}
-
 /// Keeps a stopping daemon from ending before the first request on a new connection can have arrived.
 fn expect_request(cx: &Rc<Context>) {
     let expected = InProgress::new(cx);
@@ -174,15 +133,11 @@
     });
 }
 
-async fn serve(
-    cx: Rc<Context>,
-    stream: TcpStream,
-    mut phase: watch::Receiver<Phase>,
-    activity: Rc<Activity>,
-) {
+async fn serve(cx: Rc<Context>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
     if let Err(e) = sockets::set_caller_options(&stream) {
         log::debug!("event=socket_options_failed reason={e}");
     }
+    let activity = Rc::new(Activity::default());
     let counter = ReadCounter::default();
     let (caller, progress) = (CallerConnection::default(), Rc::<WriteProgress>::default());
     let service = {
@@ -229,9 +184,8 @@
                 return;
             }
             () = closes(&mut phase, &activity) => break,
-            () = activity.place_is_needed.notified() => break,
             () = tokio::time::sleep_until(clock::instant(idle_at)) => {
-                let idle = activity.is_idle();
+                let idle = activity.in_progress.get() == 0 && !activity.discards.are_in_progress();
                 if idle && clock::now() >= activity.last_used_at.get() + idle_timeout(&cx) {
                     break;
                 }
@@ -281,19 +235,6 @@
     last_used_at: Cell<Time>,
     in_progress: Cell<usize>,
     discards: Rc<Discards>,
-    /// Closes the connection, which is idle.
-    place_is_needed: Notify,
-}
-
-impl Activity {
-    fn is_idle(&self) -> bool {
-        self.in_progress.get() == 0 && !self.discards.are_in_progress()
-    }
-
-    /// Returns whether the connection may make room for another one: the next request on it is not expected soon.
-    fn may_make_room(&self, now: Time) -> bool {
-        self.is_idle() && now >= self.last_used_at.get() + FIRST_REQUEST_TIME
-    }
 }
 
 impl Default for Activity {
@@ -304,7 +245,6 @@
             last_used_at: Cell::new(clock::now()),
             in_progress: Cell::new(0),
             discards: Rc::default(),
-            place_is_needed: Notify::new(),
         }
     }
 }
