What a host lacks itself is not blamed on upstreams

Change: an attempt at a connection that fails for want of files, ports, buffers or memory is no evidence: not of a crash, not of an upstream that can't be reached, not of a cut. The list of these errors is that by which sockets are opened again.

Measured: socket_errors.rs, a table of the errors, green. No test with processes brings a host there since callers leave files for upstreams (open_files.rs, green): partial.

--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -18,6 +18,7 @@
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::http::ends_with_connection;
 use stoatjunction_net::read_limit::CountedBody;
+use stoatjunction_net::socket_errors::lacks_resources;
 
 use crate::clock;
 use crate::connection_pool::Connection;
@@ -192,7 +193,9 @@
                 request.id_for_log(),
                 target.id
             );
-            placement.record_outcome(RunOutcome::Unreachable);
+            if !lacks_resources(&e) {
+                placement.record_outcome(RunOutcome::Unreachable);
+            }
             AttemptError::NotSent
         })?,
     };
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -7,6 +7,7 @@
 
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
+use stoatjunction_net::socket_errors::lacks_resources;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Idle time after which keepalive probes are sent.
@@ -129,15 +130,7 @@
 
 /// Returns whether opening a socket may succeed later.
 fn may_pass(e: &io::Error) -> bool {
-    let passing = [
-        libc::EADDRINUSE,
-        libc::EADDRNOTAVAIL,
-        libc::EMFILE,
-        libc::ENFILE,
-        libc::ENOBUFS,
-        libc::ENOMEM,
-    ];
-    e.raw_os_error().is_some_and(|code| passing.contains(&code))
+    e.kind() == io::ErrorKind::AddrInUse || lacks_resources(e)
 }
 
 /// Listens on `addr`.
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -12,6 +12,7 @@
 use stoatjunction_core::entry::reachability::{PROBE_INTERVAL, Reachability};
 use stoatjunction_core::time::Time;
 use stoatjunction_net::read_limit::CountedBody;
+use stoatjunction_net::socket_errors::lacks_resources;
 use tokio::sync::Mutex;
 
 use crate::attempt::UpstreamTarget;
@@ -98,7 +99,9 @@
 
 async fn open_own(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
     let opened = connection_pool::open(&target.addr).await;
-    if opened.is_err() {
+    if let Err(e) = &opened
+        && !lacks_resources(e)
+    {
         record_unreached(cx, &target.service, target.number).await;
     }
     opened
@@ -148,10 +151,10 @@
 }
 
 /// Returns whether an attempt at a connection shows that the upstream accepts none. One that is reset was accepted: the
-/// reset may arrive before the attempt has returned.
+/// reset may arrive before the attempt has returned. One for which this host lacks a file or a port was not sent.
 pub(crate) fn is_unaccepted(opened: &io::Result<Connection>) -> bool {
     let error = opened.as_ref().err();
-    error.is_some_and(|e| e.kind() != io::ErrorKind::ConnectionReset)
+    error.is_some_and(|e| e.kind() != io::ErrorKind::ConnectionReset && !lacks_resources(e))
 }
 
 /// Returns whether this host is cut off from the upstreams of a service.
--- a/stoatjunction_net/src/socket_errors.rs
+++ b/stoatjunction_net/src/socket_errors.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use nix::libc;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::occurrences::Occurrences;
@@ -50,6 +51,19 @@
     }
 }
 
+/// Returns whether an error comes from a want of files, ports or memory here, and says nothing about a peer.
+pub fn lacks_resources(e: &io::Error) -> bool {
+    let lacking = [
+        libc::EADDRNOTAVAIL,
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::ENOSPC,
+    ];
+    e.raw_os_error().is_some_and(|code| lacking.contains(&code))
+}
+
 /// Returns whether an error is that of one connection or datagram, so that the next one may be there already.
 pub fn concerns_one_peer(e: &io::Error) -> bool {
     matches!(
--- a/stoatjunction_net/tests/socket_errors.rs
+++ b/stoatjunction_net/tests/socket_errors.rs
@@ -5,7 +5,7 @@
 
 use nix::libc;
 use stoatjunction_net::occurrences::Occurrences;
-use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
+use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer, lacks_resources};
 use yare::parameterized;
 
 #[parameterized(
@@ -46,3 +46,21 @@
     assert_eq!(occurrences.record(after(1_000)), Some(3));
     assert_eq!(occurrences.record(after(1_001)), None);
 }
+
+#[parameterized(
+    no_files_of_the_process = { libc::EMFILE, true },
+    no_files_of_the_machine = { libc::ENFILE, true },
+    no_port = { libc::EADDRNOTAVAIL, true },
+    no_memory = { libc::ENOMEM, true },
+    no_buffers = { libc::ENOBUFS, true },
+    no_watches = { libc::ENOSPC, true },
+    refused = { libc::ECONNREFUSED, false },
+    reset = { libc::ECONNRESET, false },
+    timed_out = { libc::ETIMEDOUT, false },
+    no_route = { libc::EHOSTUNREACH, false },
+)]
+fn what_this_host_lacks_says_nothing_about_a_peer(code: i32, is_lacking: bool) {
+    let e = io::Error::from_raw_os_error(code);
+
+    assert_eq!(lacks_resources(&e), is_lacking);
+}
