A host that has no port for heartbeats yet is not ready

What callers may see: limits of organisations admitted twice. While its port for heartbeats was in use a host heard nobody, took itself for the only one and said that it was ready.

Change: readiness needs the port for heartbeats; the callers' port is opened after that of the balancer.

--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -298,8 +298,9 @@
 pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
     let max_open = cx.file_shares.checks;
     let respond = move |_: &Request<Incoming>| {
-        let is_ready = cx.state.borrow().is_ready(clock::now());
-        readiness_response(is_ready)
+        // Without its port for heartbeats the host would take itself for the only one.
+        let hears_hosts = cx.gossip_socket.get().is_some();
+        readiness_response(hears_hosts && cx.state.borrow().is_ready(clock::now()))
     };
     probe_server::serve(listener, "readiness", max_open, respond).await;
 }
@@ -312,13 +313,12 @@
     res
 }
 
-/// Opens the listeners for callers and the balancer.
+/// Opens the listeners for callers and the balancer, that for callers last: once it is open, callers wait there.
 pub(crate) async fn bind(
     callers: SocketAddr,
     ready: SocketAddr,
 ) -> io::Result<(TcpListener, TcpListener)> {
-    tokio::try_join!(
-        sockets::listen_when_possible(callers, "callers"),
-        sockets::listen_when_possible(ready, "readiness"),
-    )
+    let ready = sockets::listen_when_possible(ready, "readiness").await?;
+    let callers = sockets::listen_when_possible(callers, "callers").await?;
+    Ok((callers, ready))
 }
