A connection of a host keeps no other host's port from being listened on

What users saw: a system that did not start. A host whose port the kernel had given to an outgoing connection waited for it as long as that connection lasted, and for a minute after it.

Cause: the kernel refuses to listen on a port that a connection uses, unless both sockets allow that the address is used again; only the listeners did.

Change: all outgoing connections are opened in one place, which sets that option. Listening is then possible beside them, also in TIME_WAIT; connections of other programs still keep a port.

--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -7,6 +7,7 @@
 
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
+use stoatjunction_net::outgoing;
 use stoatjunction_net::socket_errors::lacks_resources;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
@@ -56,7 +57,7 @@
 
 /// Opens a connection within `timeout` and sets its options.
 pub(crate) async fn connect(addr: &str, timeout: Duration) -> io::Result<TcpStream> {
-    let opened = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
+    let opened = tokio::time::timeout(timeout, outgoing::connect(addr)).await;
     let stream = opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_options(&stream)?;
     Ok(stream)
--- a/stoatjunction_net/src/http.rs
+++ b/stoatjunction_net/src/http.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use crate::outgoing;
 use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
 use crate::socket_errors::SocketErrors;
 
@@ -82,7 +83,7 @@
 }
 
 async fn open(addr: &str, timeout: Duration) -> io::Result<TcpStream> {
-    let opened = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
+    let opened = tokio::time::timeout(timeout, outgoing::connect(addr)).await;
     let stream = opened.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
     Ok(stream)
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod occurrences;
 pub mod open_files;
+pub mod outgoing;
 pub mod platform;
 pub mod prelude;
 pub mod read_limit;
--- a/stoatjunction_net/src/link.rs
+++ b/stoatjunction_net/src/link.rs
@@ -15,6 +15,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
+use crate::outgoing;
+
 /// Largest message that is accepted, in bytes.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
 /// HTTP/2 flow-control window of a link, in bytes.
@@ -123,7 +125,7 @@
 }
 
 async fn open_stream(addr: &str) -> io::Result<(SendStream<Bytes>, h2::client::ResponseFuture)> {
-    let stream = TcpStream::connect(addr).await?;
+    let stream = outgoing::connect(addr).await?;
     stream.set_nodelay(true)?;
     let builder = h2::client::Builder::new()
         .initial_window_size(FLOW_CONTROL_WINDOW)
