What the kernel holds for connections follows the memory of the host

What users may have seen: processes that end under load, as the memory that counts for a process also has what the kernel has received for it and it has not read.

Cause: no limit on the buffers of connections to upstreams in either direction and of what callers send; that of what callers have not taken was the same on each host.

Change: one size for both directions and both sides, a 4,096th of the memory in the settings, 16 to 128 KB. Full buffers of 256 upstreams and as many callers take a quarter of the memory.

Requests that upstreams do not read were bounded before.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -53,6 +53,7 @@
 mod slot_lending;
 pub mod snapshot_fetches;
 pub mod snapshot_transfers;
+pub mod socket_buffers;
 pub mod software_version;
 pub mod start_reports;
 pub mod start_trace;
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -109,9 +109,10 @@
     }
 }
 
-/// Opens a connection to `addr`. When it fails, nothing of a request has been sent.
-pub(crate) async fn open(addr: &str) -> io::Result<Connection> {
-    let stream = sockets::connect(addr, CONNECT_TIMEOUT).await?;
+/// Opens a connection to the upstream at `addr`, for which the kernel holds about `buffer_bytes` in each direction. When it
+/// fails, nothing of a request has been sent.
+pub(crate) async fn open(addr: &str, buffer_bytes: usize) -> io::Result<Connection> {
+    let stream = sockets::connect_to_upstream(addr, CONNECT_TIMEOUT, buffer_bytes).await?;
     handshake(stream, false).await
 }
 
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -15,8 +15,6 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Bytes that the kernel holds for a caller that reads slowly. By itself it holds several megabytes for each.
-const CALLER_SEND_BUFFER_BYTES: usize = 128 * 1024;
 /// Time within which a caller must take what is sent to it. The kernel also ends connections whose peer acknowledges but
 /// does not read, and the daemon decides by itself when a caller has taken nothing for too long.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -47,12 +45,29 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-/// Sets the options of a caller's connection.
-pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets the options of a caller's connection, for which the kernel holds about `buffer_bytes` in each direction.
+pub(crate) fn set_caller_options(stream: &TcpStream, buffer_bytes: usize) -> io::Result<()> {
     set_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(CALLER_USER_TIMEOUT))?;
+    limit_buffers(stream, buffer_bytes)
+}
+
+/// Limits what the kernel holds for a connection in each direction. By itself it holds several megabytes.
+fn limit_buffers(stream: &TcpStream, bytes: usize) -> io::Result<()> {
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(CALLER_USER_TIMEOUT))?;
-    socket.set_send_buffer_size(CALLER_SEND_BUFFER_BYTES)
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)
+}
+
+/// Opens a connection to an upstream within `timeout`, for which the kernel holds about `buffer_bytes` in each direction.
+pub(crate) async fn connect_to_upstream(
+    addr: &str,
+    timeout: Duration,
+    buffer_bytes: usize,
+) -> io::Result<TcpStream> {
+    let stream = connect(addr, timeout).await?;
+    limit_buffers(&stream, buffer_bytes)?;
+    Ok(stream)
 }
 
 /// Opens a connection within `timeout` and sets its options.
