Receive buffers hold two loopback segments; an unfinished upload is not kept

And what the kernel used to take of an upload stays in the budget for bodies as long as its connection is kept, though its answer is complete.

Change: receive buffers of 64 to 128 KB, send buffers of 16 to 128 KB. A connection on which a part of the request waits to be written is closed once its answer is complete.

--- a/stoatjunction_core/src/entry/socket_buffers.rs
+++ b/stoatjunction_core/src/entry/socket_buffers.rs
@@ -1,22 +1,37 @@
-//! How much the kernel may hold for a connection in one direction. What it has received and the process has not read counts
-//! as memory of the process, as may what was written and the peer has not taken.
+//! How much the kernel may hold for a connection. What it has received and the process has not read counts as memory of the
+//! process, as may what was written and the peer has not taken.
 
 /// Connections to upstreams, and as many of callers, whose buffers are full at once in the worst case.
 const FULL_CONNECTIONS: usize = 256;
-/// Part of the memory limit that the buffers of one direction may take, as a divisor: a quarter of what bodies may, since the kernel
-/// takes twice what it is asked for.
-const LIMIT_DIVISOR: usize = 16;
-/// Buffer in bytes if the settings name no limit, and the largest one.
-pub const MAX_BUFFER_BYTES: usize = 128 << 10;
-/// The smallest buffer in bytes.
-pub const MIN_BUFFER_BYTES: usize = 16 << 10;
+/// Parts of the memory limit that full buffers of a direction may take, as divisors. The kernel takes twice what it is asked
+/// for, mostly for its own records.
+const RECEIVE_DIVISOR: usize = 8;
+const SEND_DIVISOR: usize = 16;
+/// The largest buffer in bytes, also if the settings name no limit.
+pub const MAX_BYTES: usize = 128 << 10;
+/// The smallest receive buffer in bytes: a window of two segments of the loopback device. With a smaller one, each segment
+/// waits for a timer of the kernel.
+pub const MIN_RECEIVE_BYTES: usize = 64 << 10;
+/// The smallest send buffer in bytes.
+pub const MIN_SEND_BYTES: usize = 16 << 10;
 
-/// Returns the size in bytes to ask the kernel for, for a process whose memory is limited if the settings name a limit.
-pub fn buffer_bytes(memory_limit_mb: Option<u64>) -> usize {
-    let Some(mb) = memory_limit_mb else {
-        return MAX_BUFFER_BYTES;
-    };
-    let limit = (mb as usize).saturating_mul(1 << 20);
-    let bytes = limit / LIMIT_DIVISOR / FULL_CONNECTIONS;
-    bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES)
+/// Sizes in bytes to ask the kernel for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SocketBuffers {
+    /// Bytes that were received and not read.
+    pub receive: usize,
+    /// Bytes that were written and not acknowledged.
+    pub send: usize,
+}
+
+impl SocketBuffers {
+    /// Returns the sizes for a process whose memory is limited, if the settings name a limit.
+    pub fn of(memory_limit_mb: Option<u64>) -> SocketBuffers {
+        let limit = memory_limit_mb.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1 << 20));
+        let share = |divisor| limit / divisor / FULL_CONNECTIONS;
+        SocketBuffers {
+            receive: share(RECEIVE_DIVISOR).clamp(MIN_RECEIVE_BYTES, MAX_BYTES),
+            send: share(SEND_DIVISOR).clamp(MIN_SEND_BYTES, MAX_BYTES),
+        }
+    }
 }
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -9,6 +9,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
+use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::read_limit::{LimitedConnection, ReadCounter};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -17,7 +18,7 @@
 use crate::clock;
 use crate::sockets;
 use crate::tunnel_stream::TunnelStream;
-use crate::upstream_io::UpstreamIo;
+use crate::upstream_io::{Unwritten, UpstreamIo};
 
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
 /// has a full accept queue or is gone.
@@ -33,6 +34,7 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Bytes read without progress.
     pub(crate) counter: ReadCounter,
+    unwritten: Unwritten,
     /// True if it leads through another host, which must not be held up by idle connections when it stops.
     pub(crate) is_tunnelled: bool,
     task: AbortHandle,
@@ -71,7 +73,8 @@
     }
 
     /// Keeps a connection whose last response was complete, when fewer than `max_idle` are kept.
-    /// `upstream_timeout` is the idle timeout that the upstream states.
+    /// `upstream_timeout` is the idle timeout that the upstream states. A connection on which a part of the request waits to
+    /// be written is closed, as that part takes memory of this host.
     pub(crate) fn keep_idle(
         &self,
         upstream: &str,
@@ -82,7 +85,7 @@
         let idle_timeout = upstream_timeout
             .map_or(DEFAULT_IDLE_TIMEOUT, |t| t - IDLE_TIMEOUT_MARGIN)
             .min(DEFAULT_IDLE_TIMEOUT);
-        if idle_timeout == Span::ZERO {
+        if idle_timeout == Span::ZERO || connection.unwritten.is_waiting() {
             return;
         }
         let mut all = self.idle.borrow_mut();
@@ -109,10 +112,9 @@
     }
 }
 
-/// Opens a connection to the upstream at `addr`, for which the kernel holds about `buffer_bytes` in each direction. When it
-/// fails, nothing of a request has been sent.
-pub(crate) async fn open(addr: &str, buffer_bytes: usize) -> io::Result<Connection> {
-    let stream = sockets::connect_to_upstream(addr, CONNECT_TIMEOUT, buffer_bytes).await?;
+/// Opens a connection to the upstream at `addr`. When it fails, nothing of a request has been sent.
+pub(crate) async fn open(addr: &str, buffers: SocketBuffers) -> io::Result<Connection> {
+    let stream = sockets::connect_to_upstream(addr, CONNECT_TIMEOUT, buffers).await?;
     handshake(stream, false).await
 }
 
@@ -125,8 +127,9 @@
 where
     T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let counter = ReadCounter::default();
-    let stream = LimitedConnection::new(UpstreamIo::new(stream), counter.clone());
+    let (counter, unwritten) = (ReadCounter::default(), Unwritten::default());
+    let stream = UpstreamIo::new(stream, unwritten.clone());
+    let stream = LimitedConnection::new(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
@@ -138,6 +141,7 @@
     Ok(Connection {
         sender,
         counter,
+        unwritten,
         is_tunnelled,
         task: task.abort_handle(),
     })
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -134,7 +134,7 @@
 }
 
 async fn serve(cx: Rc<Context>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
-    if let Err(e) = sockets::set_caller_options(&stream, cx.buffer_bytes) {
+    if let Err(e) = sockets::set_caller_options(&stream, cx.buffers) {
         log::debug!("event=socket_options_failed reason={e}");
     }
     let activity = Rc::new(Activity::default());
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -7,6 +7,7 @@
 
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
+use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_net::outgoing;
 use stoatjunction_net::socket_errors::lacks_resources;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -45,28 +46,28 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-/// Sets the options of a caller's connection, for which the kernel holds about `buffer_bytes` in each direction.
-pub(crate) fn set_caller_options(stream: &TcpStream, buffer_bytes: usize) -> io::Result<()> {
+/// Sets the options of a caller's connection.
+pub(crate) fn set_caller_options(stream: &TcpStream, buffers: SocketBuffers) -> io::Result<()> {
     set_options(stream)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(CALLER_USER_TIMEOUT))?;
-    limit_buffers(stream, buffer_bytes)
+    limit_buffers(stream, buffers)
 }
 
-/// Limits what the kernel holds for a connection in each direction. By itself it holds several megabytes.
-fn limit_buffers(stream: &TcpStream, bytes: usize) -> io::Result<()> {
+/// Limits what the kernel holds for a connection. By itself it holds several megabytes in each direction.
+fn limit_buffers(stream: &TcpStream, buffers: SocketBuffers) -> io::Result<()> {
     let socket = SockRef::from(stream);
-    socket.set_recv_buffer_size(bytes)?;
-    socket.set_send_buffer_size(bytes)
+    socket.set_recv_buffer_size(buffers.receive)?;
+    socket.set_send_buffer_size(buffers.send)
 }
 
-/// Opens a connection to an upstream within `timeout`, for which the kernel holds about `buffer_bytes` in each direction.
+/// Opens a connection to an upstream within `timeout`.
 pub(crate) async fn connect_to_upstream(
     addr: &str,
     timeout: Duration,
-    buffer_bytes: usize,
+    buffers: SocketBuffers,
 ) -> io::Result<TcpStream> {
     let stream = connect(addr, timeout).await?;
-    limit_buffers(&stream, buffer_bytes)?;
+    limit_buffers(&stream, buffers)?;
     Ok(stream)
 }
 
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -24,7 +24,7 @@
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::snapshot_transfers::SnapshotTransfers;
-use stoatjunction_core::entry::socket_buffers;
+use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_core::entry::start_trace::StartTrace;
 use stoatjunction_core::entry::stream_origins::{BegunStream, StreamOrigins};
 use stoatjunction_core::entry::upstream_list::UpstreamList;
@@ -222,8 +222,8 @@
     pub(crate) discards: Cell<usize>,
     /// Budget for the bodies in memory.
     pub(crate) memory: MemoryBudget,
-    /// Bytes that the kernel may hold for a connection in each direction.
-    pub(crate) buffer_bytes: usize,
+    /// What the kernel may hold for a connection.
+    pub(crate) buffers: SocketBuffers,
 }
 
 impl Context {
@@ -280,7 +280,7 @@
         let (reachable, known) = state.reachable_hosts(now);
         state.rate_limiter.set_reachable(reachable, known, now);
         let memory = MemoryBudget::new(memory_budget::budget_bytes(settings.memory_limit_mb));
-        let buffer_bytes = socket_buffers::buffer_bytes(settings.memory_limit_mb);
+        let buffers = SocketBuffers::of(settings.memory_limit_mb);
         Context {
             settings,
             file_shares,
@@ -303,7 +303,7 @@
             in_progress: Cell::new(0),
             discards: Cell::new(0),
             memory,
-            buffer_bytes,
+            buffers,
         }
     }
 
--- a/stoatjunction_entry/src/upstream_io.rs
+++ b/stoatjunction_entry/src/upstream_io.rs
@@ -4,16 +4,29 @@
 //! the response by then is still read: it may be whole. The end of such a connection is an error, so that a response that
 //! has no other end is not taken for whole.
 
+use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context as TaskContext, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Whether a part of a request waits to be written to an upstream. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Unwritten(Rc<Cell<bool>>);
+
+impl Unwritten {
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A connection to an upstream. A write fails only once nothing more can be read.
 #[derive(Debug)]
 pub(crate) struct UpstreamIo<T> {
     io: T,
+    unwritten: Unwritten,
     /// Why nothing can be written any more.
     write_error: Option<io::ErrorKind>,
     /// True once an end or an error was read.
@@ -21,9 +34,10 @@
 }
 
 impl<T> UpstreamIo<T> {
-    pub(crate) fn new(io: T) -> UpstreamIo<T> {
+    pub(crate) fn new(io: T, unwritten: Unwritten) -> UpstreamIo<T> {
         UpstreamIo {
             io,
+            unwritten,
             write_error: None,
             has_read_all: false,
         }
@@ -31,13 +45,15 @@
 
     /// Returns the result of a write, which waits for the reader after a failure.
     fn after_write(&mut self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        match written {
+        let written = match written {
             Poll::Ready(Err(e)) if !self.has_read_all => {
                 self.write_error.get_or_insert(e.kind());
                 Poll::Pending
             }
             written => written,
-        }
+        };
+        self.unwritten.0.set(written.is_pending());
+        written
     }
 
     /// Returns the result of a read that got this many bytes.
