A whole early answer that comes through another host reaches its caller

What callers saw: 502 for a request whose upstream had sent a whole answer while the upload was written, and then closed its connection, where this host reaches the upstream through another one.

Cause: the host in between dropped its stream when the upstream's connection broke. The HTTP/2 library then discards what waits to be sent, and the copying in both directions drops what it had read.

Change: the two directions are passed on for themselves. What the upstream sent is sent to its last byte, then trailers say that its connection broke; what it does not take any more is dropped. A host asks for the trailers with its request, so that hosts of earlier builds get a reset as before.

--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -11,18 +11,22 @@
 use http::{Request, Response, StatusCode};
 use stoatjunction_net::admin::query_value;
 use stoatjunction_net::socket_errors::SocketErrors;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::attempt::UpstreamTarget;
 use crate::connection_pool::CONNECT_TIMEOUT;
 use crate::sockets::{self, MAX_HEADER_LIST_BYTES};
 use crate::state::{Context, InProgress, Phase};
-use crate::tunnel_stream::TunnelStream;
+use crate::tunnel_stream::{TunnelReader, TunnelStream, TunnelWriter};
 use crate::tunnels::{REFUSED, TIMED_OUT, UNAVAILABLE, WINDOW_BYTES};
 use crate::upstream_connections;
 
 /// Time in which another host begins to use its connection.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Bytes that are read at once.
+const BUFFER_BYTES: usize = 8 * 1024;
 /// Streams that one other host may open at once.
 const MAX_STREAMS: u32 = 400;
 
@@ -105,7 +109,7 @@
         .map_or_else(StatusCode::as_str, |_| "200");
     cx.metrics.count("tunnels_served", &[("result", result)]);
     let mut res = Response::new(());
-    let mut upstream = match connected {
+    let upstream = match connected {
         Ok(upstream) => upstream,
         Err(status) => {
             *res.status_mut() = status;
@@ -116,11 +120,69 @@
     let tx = respond
         .send_response(res, false)
         .map_err(io::Error::other)?;
-    let mut stream = TunnelStream::new(tx, req.into_body());
-    tokio::io::copy_bidirectional(&mut stream, &mut upstream).await?;
+    let reads_trailers = reads_trailers(&req);
+    let is_broken = Cell::new(false);
+    let (reader, writer) = TunnelStream::new(tx, req.into_body()).into_split();
+    let (from_upstream, to_upstream) = upstream.into_split();
+    tokio::try_join!(
+        pass_responses(from_upstream, writer, &is_broken, reads_trailers),
+        pass_requests(reader, to_upstream, &is_broken),
+    )?;
     Ok(())
 }
 
+/// Returns whether the other host knows trailers of broken connections.
+fn reads_trailers(req: &Request<RecvStream>) -> bool {
+    let query = req.uri().query().unwrap_or_default();
+    query_value(query, "broken-as") == Some("trailers")
+}
+
+/// Passes on what the upstream sends, to the last byte, and then how its connection ended.
+async fn pass_responses(
+    mut from: OwnedReadHalf,
+    mut to: TunnelWriter,
+    is_broken: &Cell<bool>,
+    reads_trailers: bool,
+) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
+    let end = loop {
+        match from.read(&mut buf).await {
+            Ok(0) => break Ok(()),
+            Ok(len) => to.write_all(&buf[..len]).await?,
+            Err(e) => break Err(e),
+        }
+    };
+    match end {
+        // The kernel tells a reset only once: to the reader or to the writer.
+        Ok(()) if !is_broken.get() => to.shutdown().await,
+        _ if reads_trailers => to.end_broken(),
+        Ok(()) => Err(io::ErrorKind::ConnectionReset.into()),
+        Err(e) => Err(e),
+    }
+}
+
+/// Passes on what the other host sends, until it has all that it wants. What an upstream does not take is dropped: its
+/// response may be whole all the same.
+async fn pass_requests(
+    mut from: TunnelReader,
+    mut to: OwnedWriteHalf,
+    is_broken: &Cell<bool>,
+) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
+    loop {
+        let written = match from.read(&mut buf).await? {
+            0 if is_broken.get() => return Ok(()),
+            0 => {
+                is_broken.set(to.shutdown().await.is_err());
+                return Ok(());
+            }
+            _ if is_broken.get() => Ok(()),
+            len => to.write_all(&buf[..len]).await,
+        };
+        is_broken.set(is_broken.get() || written.is_err());
+    }
+}
+
 /// Connects to the listed upstream that a request names, over a connection of this host's own.
 async fn connect(cx: &Rc<Context>, req: &Request<RecvStream>) -> Result<TcpStream, StatusCode> {
     let query = req.uri().query().unwrap_or_default();
--- a/stoatjunction_entry/src/tunnel_stream.rs
+++ b/stoatjunction_entry/src/tunnel_stream.rs
@@ -1,4 +1,7 @@
 //! A stream of bytes in both directions over one exchange of HTTP/2.
+//!
+//! A connection of an upstream that breaks off ends its direction of the stream with trailers that say so: a reset of the
+//! stream would overtake the bytes before it, which may be a whole response.
 
 use std::io;
 use std::pin::Pin;
@@ -6,28 +9,85 @@
 
 use bytes::{Buf, Bytes};
 use h2::{RecvStream, SendStream};
+use http::HeaderMap;
+use http::header::{HeaderName, HeaderValue};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// Trailer of a stream whose connection broke off.
+const BROKEN: HeaderName = HeaderName::from_static("x-broken");
+
 /// One end of a tunnel. When it is dropped before it was shut down, the other end sees a reset and no end: the end of
 /// the bytes may be what completes a response.
 #[derive(Debug)]
 pub(crate) struct TunnelStream {
-    tx: SendStream<Bytes>,
-    rx: RecvStream,
-    unread: Bytes,
+    reader: TunnelReader,
+    writer: TunnelWriter,
 }
 
 impl TunnelStream {
     pub(crate) fn new(tx: SendStream<Bytes>, rx: RecvStream) -> TunnelStream {
         TunnelStream {
-            tx,
-            rx,
-            unread: Bytes::new(),
+            reader: TunnelReader {
+                rx,
+                unread: Bytes::new(),
+            },
+            writer: TunnelWriter { tx },
         }
     }
+
+    pub(crate) fn into_split(self) -> (TunnelReader, TunnelWriter) {
+        (self.reader, self.writer)
+    }
 }
 
 impl AsyncRead for TunnelStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.reader).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for TunnelStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut TaskContext<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.writer).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writer).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writer).poll_shutdown(cx)
+    }
+}
+
+/// Bytes that come out of a tunnel.
+#[derive(Debug)]
+pub(crate) struct TunnelReader {
+    rx: RecvStream,
+    unread: Bytes,
+}
+
+impl TunnelReader {
+    /// Returns the end of the bytes: an error if the connection at the other end broke off.
+    fn poll_end(&mut self, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
+        let trailers = ready!(self.rx.poll_trailers(cx)).map_err(reset)?;
+        let is_broken = trailers.is_some_and(|t| t.contains_key(BROKEN));
+        Poll::Ready(match is_broken {
+            true => Err(io::ErrorKind::ConnectionReset.into()),
+            false => Ok(()),
+        })
+    }
+}
+
+impl AsyncRead for TunnelReader {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut TaskContext<'_>,
@@ -35,7 +95,7 @@
     ) -> Poll<io::Result<()>> {
         while self.unread.is_empty() {
             match ready!(self.rx.poll_data(cx)) {
-                None => return Poll::Ready(Ok(())),
+                None => return self.poll_end(cx),
                 Some(Err(e)) => return Poll::Ready(Err(reset(e))),
                 Some(Ok(data)) => {
                     let released = self.rx.flow_control().release_capacity(data.len());
@@ -51,7 +111,22 @@
     }
 }
 
-impl AsyncWrite for TunnelStream {
+/// Bytes that go into a tunnel.
+#[derive(Debug)]
+pub(crate) struct TunnelWriter {
+    tx: SendStream<Bytes>,
+}
+
+impl TunnelWriter {
+    /// Ends the bytes of a connection that broke off.
+    pub(crate) fn end_broken(&mut self) -> io::Result<()> {
+        let mut trailers = HeaderMap::new();
+        trailers.insert(BROKEN, HeaderValue::from_static("1"));
+        self.tx.send_trailers(trailers).map_err(reset)
+    }
+}
+
+impl AsyncWrite for TunnelWriter {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut TaskContext<'_>,
--- a/stoatjunction_entry/src/tunnels.rs
+++ b/stoatjunction_entry/src/tunnels.rs
@@ -132,7 +132,11 @@
     target: &UpstreamTarget,
 ) -> io::Result<Answer> {
     let mut sender = sender_to(cx, host).await?;
-    let req = Request::post(format!("http://host/tunnel?upstream={}", target.number));
+    let uri = format!(
+        "http://host/tunnel?upstream={}&broken-as=trailers",
+        target.number
+    );
+    let req = Request::post(uri);
     let req = req.body(()).map_err(io::Error::other)?;
     let (res, tx) = sender.send_request(req, false).map_err(io::Error::other)?;
     let res = res.await.map_err(io::Error::other)?;
