Frames without end from other hosts do not hold up callers

What callers saw: 503 or 504 while 250 connections to the ports for other hosts sent PING and SETTINGS frames.

Cause: the HTTP/2 library reads and answers such frames in a loop, for as long as a peer sends them; only requests and data were bounded.

--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -14,6 +14,7 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::list_update::ListUpdate;
 use stoatjunction_net::admin::query_value;
+use stoatjunction_net::frame_limit::{FrameCounter, FrameLimitedConnection};
 use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -124,6 +125,8 @@
 }
 
 async fn send(cx: &Context, stream: TcpStream) -> io::Result<()> {
+    let counter = FrameCounter::default();
+    let stream = FrameLimitedConnection::new(stream, counter.clone());
     let handshake = h2::server::Builder::new()
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .handshake(stream);
@@ -132,6 +135,7 @@
     let mut transfers = Vec::new();
     while let Some(accepted) = conn.accept().await {
         let (req, mut respond) = accepted.map_err(io::Error::other)?;
+        counter.reset();
         let known = Known::parse(req.uri().query().unwrap_or_default());
         let Some((bytes, transfer)) = begin_transfer(cx, known)? else {
             log::debug!("event=snapshot_declined");
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -10,6 +10,7 @@
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
 use stoatjunction_net::admin::query_value;
+use stoatjunction_net::frame_limit::{FrameCounter, FrameLimitedConnection};
 use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -47,6 +48,8 @@
 
 async fn serve_host(cx: &Rc<Context>, stream: TcpStream, open: &Rc<Cell<usize>>) -> io::Result<()> {
     sockets::set_options(&stream)?;
+    let counter = FrameCounter::default();
+    let stream = FrameLimitedConnection::new(stream, counter.clone());
     let handshake = h2::server::Builder::new()
         .initial_connection_window_size(WINDOW_BYTES)
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
@@ -57,9 +60,10 @@
     let mut conn = shaken.map_err(io::Error::other)?;
     while let Some(accepted) = conn.accept().await {
         let (req, respond) = accepted.map_err(io::Error::other)?;
-        let (cx, open) = (cx.clone(), open.clone());
+        counter.reset();
+        let (cx, open, counter) = (cx.clone(), open.clone(), counter.clone());
         tokio::task::spawn_local(async move {
-            if let Err(e) = serve_tunnel(&cx, req, respond, &open).await {
+            if let Err(e) = serve_tunnel(&cx, req, respond, &open, &counter).await {
                 log::debug!("event=tunnel_ended reason=\"{e}\"");
             }
         });
@@ -98,6 +102,7 @@
     req: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     open: &Cell<usize>,
+    counter: &FrameCounter,
 ) -> io::Result<()> {
     let tunnel = OpenTunnel::new(cx, open);
     let connected = match &tunnel {
@@ -121,12 +126,15 @@
         .send_response(res, false)
         .map_err(io::Error::other)?;
     let reads_trailers = reads_trailers(&req);
-    let is_broken = Cell::new(false);
+    let progress = Progress {
+        counter,
+        is_broken: Cell::new(false),
+    };
     let (reader, writer) = TunnelStream::new(tx, req.into_body()).into_split();
     let (from_upstream, to_upstream) = upstream.into_split();
     tokio::try_join!(
-        pass_responses(from_upstream, writer, &is_broken, reads_trailers),
-        pass_requests(reader, to_upstream, &is_broken),
+        pass_responses(from_upstream, writer, &progress, reads_trailers),
+        pass_requests(reader, to_upstream, &progress),
     )?;
     Ok(())
 }
@@ -137,11 +145,18 @@
     query_value(query, "broken-as") == Some("trailers")
 }
 
+/// What the two directions of a tunnel tell each other and the connection that they are on.
+struct Progress<'a> {
+    counter: &'a FrameCounter,
+    /// True once the upstream has broken its connection.
+    is_broken: Cell<bool>,
+}
+
 /// Passes on what the upstream sends, to the last byte, and then how its connection ended.
 async fn pass_responses(
     mut from: OwnedReadHalf,
     mut to: TunnelWriter,
-    is_broken: &Cell<bool>,
+    progress: &Progress<'_>,
     reads_trailers: bool,
 ) -> io::Result<()> {
     let mut buf = vec![0; BUFFER_BYTES];
@@ -151,10 +166,11 @@
             Ok(len) => to.write_all(&buf[..len]).await?,
             Err(e) => break Err(e),
         }
+        progress.counter.reset();
     };
     match end {
         // The kernel tells a reset only once: to the reader or to the writer.
-        Ok(()) if !is_broken.get() => to.shutdown().await,
+        Ok(()) if !progress.is_broken.get() => to.shutdown().await,
         _ if reads_trailers => to.end_broken(),
         Ok(()) => Err(io::ErrorKind::ConnectionReset.into()),
         Err(e) => Err(e),
@@ -166,8 +182,9 @@
 async fn pass_requests(
     mut from: TunnelReader,
     mut to: OwnedWriteHalf,
-    is_broken: &Cell<bool>,
+    progress: &Progress<'_>,
 ) -> io::Result<()> {
+    let is_broken = &progress.is_broken;
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let written = match from.read(&mut buf).await? {
@@ -179,6 +196,7 @@
             _ if is_broken.get() => Ok(()),
             len => to.write_all(&buf[..len]).await,
         };
+        progress.counter.reset();
         is_broken.set(is_broken.get() || written.is_err());
     }
 }
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod daemon;
 pub mod event;
+pub mod frame_limit;
 pub mod http;
 pub mod ini;
 pub mod link;
