Heads that callers do not end take bounded memory and time

What users may have seen: a small host that runs out of memory while many callers each hold a part of a head or of the line of a chunk's size; and heads that may take for ever, although header-timeout-ms names a time.

Cause: what is not ended counted in no budget, since only bodies did; the setting was read and not used. The time-out of the HTTP library also ends idle connections, which callers use again for longer.

Change: such parts together take at most two tenths of the budget for bodies, apart from it; a connection beyond that is closed. A head that has begun is whole within header-timeout-ms, or its connection is closed; not while a response is on its way. The end of a chunked body counts as progress, so that an idle connection after one does not count as a head.

--- a/stoatjunction_core/src/entry/memory_budget.rs
+++ b/stoatjunction_core/src/entry/memory_budget.rs
@@ -17,6 +17,9 @@
 /// The same for events that are not complete yet, beside all other bodies: callers that read slowly keep no event of others
 /// from being completed.
 const EVENT_TENTHS: usize = 2;
+/// The same for what callers have begun to send and not ended, beside all bodies: a host whose memory is full still reads
+/// requests, to refuse them.
+const INPUT_TENTHS: usize = 2;
 /// Bytes that a stream may hold, however many streams there are.
 pub const MIN_STREAM_BYTES: usize = 64 << 10;
 
@@ -33,13 +36,14 @@
     Plain,
     Stream,
     Event,
+    Input,
 }
 
 #[derive(Debug)]
 struct Counters {
     limit: usize,
     /// Bytes that are held, by kind.
-    held: [AtomicUsize; 4],
+    held: [AtomicUsize; 5],
     streams: AtomicUsize,
 }
 
@@ -62,7 +66,7 @@
         self.0.limit
     }
 
-    /// Returns the bytes that are held, without incomplete events.
+    /// Returns the bytes that are held, without incomplete events and unfinished input.
     pub fn held(&self) -> usize {
         let others = [Kind::Request, Kind::Plain, Kind::Stream].into_iter();
         let held = others.map(|kind| self.held_by(kind).load(Ordering::Relaxed));
@@ -98,6 +102,11 @@
         HeldBytes::new(self, Kind::Event)
     }
 
+    /// Creates an empty account of what a caller has begun to send.
+    pub fn input(&self) -> HeldBytes {
+        HeldBytes::new(self, Kind::Input)
+    }
+
     /// Counts a stream until the result is dropped.
     pub fn begin_stream(&self) -> StreamShare {
         self.0.streams.fetch_add(1, Ordering::Relaxed);
@@ -111,13 +120,15 @@
             Kind::Plain => PLAIN_TENTHS,
             Kind::Stream => STREAM_TENTHS,
             Kind::Event => EVENT_TENTHS,
+            Kind::Input => INPUT_TENTHS,
         };
         self.limit() / 10 * tenths
     }
 
     fn fits(&self, kind: Kind, bytes: usize) -> bool {
         let held = self.held_by(kind).load(Ordering::Relaxed);
-        let fits_beside_others = kind == Kind::Event || self.held() + bytes <= self.limit();
+        let is_apart = matches!(kind, Kind::Event | Kind::Input);
+        let fits_beside_others = is_apart || self.held() + bytes <= self.limit();
         held + bytes <= self.limit_of(kind) && fits_beside_others
     }
 }
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -23,6 +23,7 @@
 
 use crate::body::Body;
 use crate::caller_body::{CallerBody, Discards};
+use crate::caller_input::{CallerInput, InputLimits};
 use crate::clock;
 use crate::forward;
 use crate::probe_server;
@@ -166,10 +167,20 @@
         .header_bytes
         .max(MIN_HEAD_BUFFER_BYTES);
     let stream = WatchedConnection::new(stream, progress.clone());
+    let stream = LimitedConnection::new(stream, counter.clone());
+    let input_limits = InputLimits {
+        counter,
+        held: cx.memory.input(),
+        head_timeout: limits.unwrap_or_default().header_timeout.into(),
+        reads_head: {
+            let activity = activity.clone();
+            Rc::new(move || activity.in_progress.get() == 0)
+        },
+    };
     let conn = http1::Builder::new()
         .max_buf_size(head_bytes)
         .serve_connection(
-            TokioIo::new(LimitedConnection::new(stream, counter)),
+            TokioIo::new(CallerInput::new(stream, input_limits)),
             service,
         );
     tokio::pin!(conn);
--- a/stoatjunction_net/src/read_limit.rs
+++ b/stoatjunction_net/src/read_limit.rs
@@ -29,9 +29,14 @@
         self.0.store(0, Ordering::Relaxed);
     }
 
+    /// Returns the bytes that were read since the last progress.
+    pub fn bytes(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
     /// Returns whether anything was read since the last progress.
     pub fn has_read(&self) -> bool {
-        self.0.load(Ordering::Relaxed) > 0
+        self.bytes() > 0
     }
 }
 
@@ -130,9 +135,12 @@
         cx: &mut TaskContext<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if let Some(Ok(frame)) = &frame
-            && frame.is_data()
-        {
+        let is_progress = match &frame {
+            Some(Ok(frame)) => frame.is_data(),
+            Some(Err(_)) => false,
+            None => true,
+        };
+        if is_progress {
             self.counter.reset();
         }
         Poll::Ready(frame)
