Gateway and dispatcher do not end since a port is in use

What operators saw: exit code 1 at the start of the product's own daemons while another process or a connection uses one of their ports.

Change: opening sockets again moves to stoatjunction_net; the listeners of both daemons use it. One that is stopped while it waits ends with code 0.

--- a/stoatjunction_bench/tests/common/mod.rs
+++ b/stoatjunction_bench/tests/common/mod.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns the log lines of all starts.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.config.with_extension("log")).expect("log file is readable")
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- a/stoatjunction_dispatcher/src/daemon.rs
+++ b/stoatjunction_dispatcher/src/daemon.rs
@@ -76,8 +76,8 @@
     shard_cfg: ShardSettings,
     stop: StopRx,
 ) -> miette::Result<Dispatcher> {
-    let (listener, addr) = admin::bind(&cfg.listen).await?;
-    let (admin_listener, admin_addr) = admin::bind(&cfg.admin).await?;
+    let (listener, addr) = admin::bind(&cfg.listen, &stop).await?;
+    let (admin_listener, admin_addr) = admin::bind(&cfg.admin, &stop).await?;
     let timeline = Timeline::new(&cfg.host, "dispatcher");
     let metrics = Metrics::start("dispatcher", cfg.statsd.as_deref())
         .map_err(|e| miette::miette!("cannot open the statsd socket: {e}"))?;
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -1,6 +1,7 @@
 //! Socket options. They detect dead connections, since a peer may become unreachable without a
 //! reset.
 
+use std::future::ready;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,8 +9,8 @@
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
 use stoatjunction_core::entry::socket_buffers::SocketBuffers;
+use stoatjunction_net::listening::open_when_possible;
 use stoatjunction_net::outgoing;
-use stoatjunction_net::socket_errors::lacks_resources;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 /// Idle time after which keepalive probes are sent.
@@ -29,10 +30,6 @@
 const ACCEPT_BACKLOG: i32 = 1_024;
 /// Largest list of headers between hosts in bytes. The HTTP/2 library keeps 16 MB by itself.
 pub(crate) const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
-/// Interval for opening a socket that could not be opened.
-const OPEN_INTERVAL: Duration = Duration::from_millis(50);
-/// Attempts to open a socket of which one is logged.
-const OPEN_ATTEMPTS_PER_LINE: u32 = 20;
 
 /// Sets the options by which a connection fails within seconds after its peer is gone.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
@@ -110,7 +107,7 @@
     addr: SocketAddr,
     purpose: &str,
 ) -> io::Result<TcpListener> {
-    open_when_possible(addr, purpose, || listen(addr)).await
+    open_when_possible(addr, purpose, || ready(listen(addr))).await
 }
 
 /// Binds a socket for datagrams to `addr` as soon as that is possible.
@@ -120,34 +117,7 @@
         socket.set_nonblocking(true)?;
         UdpSocket::from_std(socket)
     };
-    open_when_possible(addr, purpose, bind).await
-}
-
-/// Opens a socket, again and again while that fails for a reason that passes. A process that is about to end and outgoing
-/// connections of others may use the port.
-async fn open_when_possible<T, F>(addr: SocketAddr, purpose: &str, open: F) -> io::Result<T>
-where
-    F: Fn() -> io::Result<T>,
-{
-    let mut attempts = 0_u32;
-    loop {
-        match open() {
-            Ok(socket) => return Ok(socket),
-            Err(e) if !may_pass(&e) => return Err(e),
-            Err(e) => {
-                if attempts.is_multiple_of(OPEN_ATTEMPTS_PER_LINE) {
-                    log::warn!("event=listen_failed purpose={purpose} addr={addr} reason=\"{e}\"");
-                }
-            }
-        }
-        attempts = attempts.wrapping_add(1);
-        tokio::time::sleep(OPEN_INTERVAL).await;
-    }
-}
-
-/// Returns whether opening a socket may succeed later.
-fn may_pass(e: &io::Error) -> bool {
-    e.kind() == io::ErrorKind::AddrInUse || lacks_resources(e)
+    open_when_possible(addr, purpose, || ready(bind())).await
 }
 
 /// Listens on `addr`.
--- a/stoatjunction_gateway/src/daemon.rs
+++ b/stoatjunction_gateway/src/daemon.rs
@@ -47,8 +47,8 @@
 ///
 /// A report if a listener or the statsd socket cannot be opened.
 pub async fn start(cfg: DaemonSettings, stop: StopRx) -> miette::Result<Gateway> {
-    let (listener, addr) = admin::bind(&cfg.listen).await?;
-    let (admin_listener, admin_addr) = admin::bind(&cfg.admin).await?;
+    let (listener, addr) = admin::bind(&cfg.listen, &stop).await?;
+    let (admin_listener, admin_addr) = admin::bind(&cfg.admin, &stop).await?;
     let clock = Clock::start();
     let timeline = Timeline::new(&cfg.host, "gateway");
     let metrics = Metrics::start("gateway", cfg.statsd.as_deref())
--- a/stoatjunction_net/src/admin.rs
+++ b/stoatjunction_net/src/admin.rs
@@ -6,14 +6,23 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use miette::Diagnostic;
 use serde_json::{Value, json};
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use warp::http::{Method, StatusCode};
 use warp::{Filter, Reply};
 
 use crate::event::Timeline;
+use crate::listening::open_when_possible;
 use crate::metrics::Metrics;
+use crate::stop::{self, Stop, StopRx};
+
+/// A stop was requested before the process could listen.
+#[derive(Clone, Copy, Debug, Diagnostic, Error)]
+#[error("stopped before it could listen")]
+pub struct StoppedEarly;
 
 /// Handler of the daemon's own paths below `/v1/admin/`. Receives the method, the path below
 /// `/v1/admin/` and the query, and returns `None` for an unknown path.
@@ -104,13 +113,16 @@
         .map(|(_, v)| v)
 }
 
-/// Binds a listener to `addr` and returns it with its local address.
+/// Binds a listener to `addr` as soon as that is possible, and returns it with its local address.
 ///
 /// # Errors
 ///
-/// A report that names `addr` if it cannot be bound.
-pub async fn bind(addr: &str) -> miette::Result<(TcpListener, SocketAddr)> {
-    let bound = TcpListener::bind(addr).await;
+/// A report that names `addr` if it cannot be bound, or [`StoppedEarly`].
+pub async fn bind(addr: &str, stop: &StopRx) -> miette::Result<(TcpListener, SocketAddr)> {
+    let bound = tokio::select! {
+        bound = open_when_possible(addr, "listener", || TcpListener::bind(addr)) => bound,
+        () = stop::wait(stop, Stop::Graceful) => return Err(StoppedEarly.into()),
+    };
     let listener = bound.map_err(|e| miette::miette!("cannot listen on {addr}: {e}"))?;
     let local = listener
         .local_addr()
--- a/stoatjunction_net/src/daemon.rs
+++ b/stoatjunction_net/src/daemon.rs
@@ -8,6 +8,7 @@
 use log::LevelFilter;
 use pico_args::Arguments;
 
+use crate::admin::StoppedEarly;
 use crate::logging;
 use crate::settings::DaemonSettings;
 use crate::stop::{StopRx, on_signals};
@@ -150,6 +151,7 @@
     match outcome {
         Ok(ShutdownOutcome::Drained) => ExitCode::SUCCESS,
         Ok(ShutdownOutcome::Cut) => ExitCode::from(EXIT_CUT),
+        Err(report) if report.downcast_ref::<StoppedEarly>().is_some() => ExitCode::SUCCESS,
         Err(report) => {
             logging::report(&format!("{report:?}"));
             ExitCode::from(EXIT_FAILED)
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod ini;
 pub mod link;
+pub mod listening;
 pub mod log_writer;
 pub mod logging;
 pub mod message;
