--- a/stoatjunction_core/src/entry/socket_buffers.rs
+++ b/stoatjunction_core/src/entry/socket_buffers.rs
@@ -1,10 +1,10 @@
 //! How much the kernel may hold for a connection. What it has received and the process has not read counts as memory of the
 //! process, as may what was written and the peer has not taken.
 
-/// Connections to upstreams, and as many of callers, whose buffers are full at once in the worst case.
+/// Connections to upstreams whose buffers are full at once, and as many of callers.
 const FULL_CONNECTIONS: usize = 256;
-/// Parts of the memory limit that full buffers of a direction may take, as divisors. The kernel takes twice what it is asked
-/// for, mostly for its own records.
+/// Parts of the memory limit that full buffers of one direction may take on either side, as divisors. The kernel takes twice
+/// what it is asked for, mostly for its own records.
 const RECEIVE_DIVISOR: usize = 8;
 const SEND_DIVISOR: usize = 16;
 /// The largest buffer in bytes, also if the settings name no limit.
