Commands of operators do not panic without a reader

What operators saw: exit code 101 and a panic when the output of a command goes to a program that has ended, as after 'stoatjunction events | head'.

Change: lines go through two macros that drop what cannot be written.

--- a/stoatjunction/src/admin.rs
+++ b/stoatjunction/src/admin.rs
@@ -6,6 +6,7 @@
 use stoatjunction_net::http::{call, full};
 
 use crate::config::{Config, Endpoint};
+use crate::output::errln;
 
 /// Timeout of a request to one daemon.
 const DAEMON_TIMEOUT: Duration = Duration::from_secs(2);
@@ -48,7 +49,7 @@
 /// Prints to standard error which daemons sent no valid response.
 pub fn print_unresponsive(responses: &Responses) {
     for (endpoint, _) in responses.iter().filter(|(_, r)| r.is_none()) {
-        eprintln!("no response from {} at {}", endpoint.name, endpoint.addr);
+        errln!("no response from {} at {}", endpoint.name, endpoint.addr);
     }
 }
 
--- a/stoatjunction/src/bundle.rs
+++ b/stoatjunction/src/bundle.rs
@@ -11,6 +11,7 @@
 use crate::admin::{call_daemons, field_text, print_unresponsive};
 use crate::cli::{CommandError, check_no_arguments_left, take_positional, usage_error};
 use crate::config::Config;
+use crate::output::outln;
 
 /// Runs a `bundle` command.
 pub async fn run(mut args: Arguments, config: &Path, json: bool) -> Result<(), CommandError> {
@@ -51,13 +52,13 @@
                 .accept(number, &cfg.operator, &cfg.keys)
                 .await
                 .map_err(to_report)?;
-            println!("bundle {number} is accepted");
+            outln!("bundle {number} is accepted");
         }
         "history" => {
             check_no_arguments_left(args)?;
             let records = cfg.bundle_store().records().await.map_err(to_report)?;
             if json {
-                println!("{}", json!(records));
+                outln!("{}", json!(records));
             } else {
                 records.iter().for_each(print_record);
             }
@@ -87,7 +88,7 @@
 
 fn check_file(file: &str) -> miette::Result<()> {
     let bundle = parse(file, &read_file(file)?)?;
-    println!(
+    outln!(
         "{file}: valid, {} tiers, {} services, {} kinds, {} upstreams, {} organisations, \
          {} credentials",
         bundle.tiers.len(),
@@ -118,13 +119,13 @@
     let (old, new) = (lines_with_section(&old), lines_with_section(&new));
     let (old_set, new_set): (HashSet<&String>, HashSet<&String>) =
         (old.iter().collect(), new.iter().collect());
-    println!("compared with bundle {}:", accepted.number);
+    outln!("compared with bundle {}:", accepted.number);
     old.iter()
         .filter(|l| !new_set.contains(l))
-        .for_each(|l| println!("- {l}"));
+        .for_each(|l| outln!("- {l}"));
     new.iter()
         .filter(|l| !old_set.contains(l))
-        .for_each(|l| println!("+ {l}"));
+        .for_each(|l| outln!("+ {l}"));
     Ok(())
 }
 
@@ -165,7 +166,7 @@
         RecordState::Proposed => "proposed",
         RecordState::Approved => "approved",
     };
-    println!(
+    outln!(
         "bundle {} {state}: proposed by {}, approved by {}, {} parts, note: {}",
         record.number,
         record.proposer,
@@ -191,18 +192,18 @@
             .iter()
             .map(|(e, r)| json!({"process": e.name, "bundle": r.as_ref().map(|r| &r["bundle"])}))
             .collect();
-        println!("{}", json!({"target": target, "processes": processes}));
+        outln!("{}", json!({"target": target, "processes": processes}));
         return Ok(());
     }
     match &accepted {
-        Ok(a) => println!("accepted in the platform: bundle {} by {}", a.number, a.by),
-        Err(e) => println!("cannot read the accepted bundle from the platform: {e}"),
+        Ok(a) => outln!("accepted in the platform: bundle {} by {}", a.number, a.by),
+        Err(e) => outln!("cannot read the accepted bundle from the platform: {e}"),
     }
     for (endpoint, response) in &responses {
         let Some(response) = response else { continue };
         let lags = response["bundle"].as_u64() != Some(target);
         let suffix = if lags { "  LAGS" } else { "" };
-        println!(
+        outln!(
             "{:<28} bundle {}{suffix}",
             endpoint.name,
             field_text(response, "bundle")
--- a/stoatjunction/src/claims.rs
+++ b/stoatjunction/src/claims.rs
@@ -9,6 +9,7 @@
 
 use crate::cli::{CommandError, check_no_arguments_left, take_positional, usage_error};
 use crate::config::Config;
+use crate::output::outln;
 
 /// Runs a `claims` command.
 pub async fn run(mut args: Arguments, cfg: &Config, json: bool) -> Result<(), CommandError> {
@@ -57,11 +58,12 @@
             continue;
         }
         if json {
-            println!("{}", json!({"object": key, "claim": claim}));
+            outln!("{}", json!({"object": key, "claim": claim}));
         } else {
-            println!(
+            outln!(
                 "{key} held by {} until {}",
-                claim.host, claim.holds_until_ms
+                claim.host,
+                claim.holds_until_ms
             );
         }
     }
@@ -86,6 +88,6 @@
         .put(object, &value, expect)
         .await
         .map_err(|e| miette!("{object}: {e}"))?;
-    println!("{object}: resolved");
+    outln!("{object}: resolved");
     Ok(())
 }
--- a/stoatjunction/src/config.rs
+++ b/stoatjunction/src/config.rs
@@ -12,6 +12,8 @@
 use stoatjunction_net::platform::ObjectApiClient;
 use stoatjunction_net::settings::parse_key;
 
+use crate::output::outln;
+
 /// Length of an Ed25519 private key, in bytes.
 const PRIVATE_KEY_BYTES: usize = 32;
 /// Timeout of a call to the platform.
@@ -135,6 +137,6 @@
         .open(path);
     let mut f = opened.map_err(|e| miette!("{path}: {e}"))?;
     writeln!(f, "{}", hex::encode(bytes)).map_err(|e| miette!("{path}: {e}"))?;
-    println!("{}", hex::encode(key.verifying_key().as_bytes()));
+    outln!("{}", hex::encode(key.verifying_key().as_bytes()));
     Ok(())
 }
--- a/stoatjunction/src/explain.rs
+++ b/stoatjunction/src/explain.rs
@@ -8,6 +8,7 @@
 use pico_args::Arguments;
 
 use crate::cli::{CommandError, take_positional};
+use crate::output::outln;
 
 /// A log line of the request.
 #[derive(Debug)]
@@ -47,7 +48,7 @@
         text.push_str(&part);
         text.push('\n');
     }
-    print!("{}", explain(&id, &text));
+    outln!("{}", explain(&id, &text).trim_end_matches('\n'));
     Ok(())
 }
 
--- a/stoatjunction/src/explain_placement.rs
+++ b/stoatjunction/src/explain_placement.rs
@@ -10,6 +10,7 @@
 
 use crate::admin::field_text;
 use crate::cli::{CommandError, check_no_arguments_left, take_positional, usage_error};
+use crate::output::outln;
 
 /// Timeout of the query.
 const HOST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -34,9 +35,9 @@
     check_no_arguments_left(args)?;
     let explanation = ask(&addr, &query).await?;
     if json {
-        println!("{explanation}");
+        outln!("{explanation}");
     } else {
-        print!("{}", render(&explanation));
+        outln!("{}", render(&explanation).trim_end_matches('\n'));
     }
     Ok(())
 }
--- a/stoatjunction/src/fleet.rs
+++ b/stoatjunction/src/fleet.rs
@@ -6,6 +6,7 @@
 use crate::admin::{Responses, call_daemons, field_text, print_unresponsive};
 use crate::cli::{CommandError, check_no_arguments_left, take_positional, usage_error};
 use crate::config::Config;
+use crate::output::outln;
 
 /// Runs the command named `command`.
 pub async fn run(
@@ -50,7 +51,7 @@
     for (endpoint, response) in &responses {
         let Some(response) = response else { continue };
         if json {
-            println!("{}", json!({"process": endpoint.name, path: response}));
+            outln!("{}", json!({"process": endpoint.name, path: response}));
             continue;
         }
         for item in response.as_array().into_iter().flatten() {
@@ -72,7 +73,7 @@
     print_unresponsive(&responses);
     match first {
         Some((endpoint, response)) => {
-            println!("{}: {response}", endpoint.name);
+            outln!("{}: {response}", endpoint.name);
             Ok(())
         }
         None => Err(miette::miette!("no dispatcher accepted the change").into()),
@@ -80,7 +81,7 @@
 }
 
 fn print_host(dispatcher: &str, host: &Value) {
-    println!(
+    outln!(
         "{dispatcher:<24} sees {:<16} dc={} bundle={} linked={} stopping={} heard_ms={}",
         field_text(host, "host"),
         field_text(host, "dc"),
@@ -92,7 +93,7 @@
 }
 
 fn print_shard(dispatcher: &str, shard: &Value) {
-    println!(
+    outln!(
         "{:<24} at {dispatcher} owned={} queued={} running={}",
         field_text(shard, "shard"),
         field_text(shard, "owned"),
@@ -100,7 +101,7 @@
         field_text(shard, "running")
     );
     for upstream in shard["upstreams"].as_array().into_iter().flatten() {
-        println!(
+        outln!(
             "  {:<16} serving={} running={}/{} foreign={} token_pace_s={:.4}",
             field_text(upstream, "name"),
             field_text(upstream, "serving"),
@@ -114,7 +115,7 @@
 
 fn print_verdict(dispatcher: &str, verdict: &Value) {
     let fingerprint = verdict["fingerprint"].as_u64().unwrap_or(0);
-    println!(
+    outln!(
         "{dispatcher:<24} {fingerprint:016x} {}",
         field_text(verdict, "standing")
     );
--- a/stoatjunction/src/main.rs
+++ b/stoatjunction/src/main.rs
@@ -8,23 +8,26 @@
 mod explain;
 mod explain_placement;
 mod fleet;
+mod output;
 mod timeline;
 
 use std::process::ExitCode;
 
 use pico_args::Arguments;
 
+use crate::output::{errln, outln};
+
 /// Exit code for invalid arguments.
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
     let mut args = Arguments::from_env();
     if args.contains("--help") {
-        println!("{}", cli::HELP);
+        outln!("{}", cli::HELP);
         return ExitCode::SUCCESS;
     }
     if args.contains("--version") {
-        println!("stoatjunction {}", env!("CARGO_PKG_VERSION"));
+        outln!("stoatjunction {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
@@ -36,11 +39,11 @@
     match runtime.block_on(cli::run(args)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cli::CommandError::Usage(message)) => {
-            eprintln!("{message}\n\n{}", cli::HELP);
+            errln!("{message}\n\n{}", cli::HELP);
             ExitCode::from(EXIT_USAGE)
         }
         Err(cli::CommandError::Failed(report)) => {
-            eprintln!("{report:?}");
+            errln!("{report:?}");
             ExitCode::FAILURE
         }
     }
--- a/stoatjunction/src/timeline.rs
+++ b/stoatjunction/src/timeline.rs
@@ -6,6 +6,7 @@
 use crate::admin::{call_daemons, print_unresponsive};
 use crate::cli::{CommandError, check_no_arguments_left};
 use crate::config::Config;
+use crate::output::outln;
 
 /// Selection of the events to print.
 #[derive(Debug, Default)]
@@ -48,9 +49,9 @@
     events.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
     for event in &events {
         if json {
-            println!("{}", serde_json::to_string(event).unwrap_or_default());
+            outln!("{}", serde_json::to_string(event).unwrap_or_default());
         } else {
-            println!(
+            outln!(
                 "{} {}/{} {}",
                 event.wall_ms(),
                 event.host,
