Loads at the end of their range are added up without overflow

Cause: the tokens of a prompt and the loads of other hosts are bounded each, but their sums were not. A slow machine runs two such requests at once. A build without checks wraps around and takes a loaded upstream for a free one.

Change: loads are added up in one place, which saturates; so are the sums of a relay and the two places that count one more run.

--- a/stoatjunction_core/src/entry/peer_reports.rs
+++ b/stoatjunction_core/src/entry/peer_reports.rs
@@ -131,8 +131,7 @@
         self.remove_peer_load(peer);
         for (key, load) in &loads {
             if let Some(upstream) = self.upstreams.get_mut(*key) {
-                upstream.peer_load.running += load.running;
-                upstream.peer_load.pending_prefill_tokens += load.pending_prefill_tokens;
+                upstream.peer_load = upstream.peer_load.saturating_add(*load);
             }
         }
         self.peer_loads.insert(peer, (loads, now));
--- a/stoatjunction_core/src/entry/placement.rs
+++ b/stoatjunction_core/src/entry/placement.rs
@@ -165,7 +165,10 @@
     /// Returns the milliseconds that a request sent now would wait inside the upstream for a slot.
     fn queue_delay_ms(&self, upstream: &Upstream, now: Time) -> f64 {
         let slots = upstream.slots().max(1);
-        let over = (upstream.running(now) + 1).saturating_sub(slots);
+        let over = upstream
+            .running(now)
+            .saturating_add(1)
+            .saturating_sub(slots);
         f64::from(over) * self.mean_run_ms * upstream.slowdown.get() / f64::from(slots)
     }
 
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -344,11 +344,13 @@
             let load = upstream.load(now);
             prefill_ahead = load.pending_prefill_tokens;
             had_free_slot = load.running < upstream.listed.slots;
-            concurrency = load.running + 1;
+            concurrency = load.running.saturating_add(1);
             log_pace = upstream.capacity.pace.log(now);
-            upstream.own_load.running += 1;
+            upstream.own_load = upstream.own_load.saturating_add(Load {
+                running: 1,
+                pending_prefill_tokens: uncached_tokens,
+            });
             upstream.borrowed_slots = upstream.borrowed_slots.saturating_sub(1);
-            upstream.own_load.pending_prefill_tokens += uncached_tokens;
             self.limits.charge(upstream.number, now);
         }
         for part in prompt {
@@ -405,7 +407,7 @@
         let slowdown = upstream.slowdown.get() * pace;
         upstream.slowdown.observe(ms / predicted_ms / pace);
         self.latency.observe(tokens, ms / slowdown);
-        let concurrency = upstream.own_load.running + upstream.peer_load.running;
+        let concurrency = upstream.reported_load().running;
         let known = self.upstreams.iter().filter(|(_, u)| u.slowdown.is_known());
         self.lowest_slowdown = known.map(|(_, u)| u.slowdown.get()).fold(1.0, f64::min);
         self.observe_capacity(r.upstream, r.observed(concurrency, ms, predicted_ms), now);
@@ -539,7 +541,7 @@
     /// Records the load that an upstream reported in a response.
     pub fn record_load_report(&mut self, key: UpstreamKey, running: u32, waiting: u32, now: Time) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            let known = upstream.own_load.running + upstream.peer_load.running;
+            let known = upstream.reported_load().running;
             let reported = running.saturating_add(waiting).min(MAX_REPORTED_RUNS);
             upstream.unaccounted_running = reported.saturating_sub(known);
             upstream.unaccounted_at = now;
--- a/stoatjunction_core/src/entry/upstream.rs
+++ b/stoatjunction_core/src/entry/upstream.rs
@@ -26,6 +26,18 @@
     pub pending_prefill_tokens: u32,
 }
 
+impl Load {
+    /// Returns the sum, at most the largest numbers: callers and other hosts name them.
+    pub fn saturating_add(self, other: Load) -> Load {
+        Load {
+            running: self.running.saturating_add(other.running),
+            pending_prefill_tokens: self
+                .pending_prefill_tokens
+                .saturating_add(other.pending_prefill_tokens),
+        }
+    }
+}
+
 /// An upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -189,20 +201,24 @@
 
     /// Records that the upstream turned out to be full although slots seemed free.
     pub(super) fn mark_full(&mut self, now: Time) {
-        let known = self.own_load.running + self.peer_load.running;
+        let known = self.reported_load().running;
         self.unaccounted_running = self.listed.slots.saturating_sub(known);
         self.unaccounted_at = now;
     }
 
+    /// Returns the load of this host's runs and of those that others report.
+    pub(super) fn reported_load(&self) -> Load {
+        self.own_load.saturating_add(self.peer_load)
+    }
+
     /// Returns the known load of all hosts.
     pub(super) fn load(&self, now: Time) -> Load {
         let fresh = now.since(self.unaccounted_at) < UNACCOUNTED_AGE;
-        let unaccounted = if fresh { self.unaccounted_running } else { 0 };
-        Load {
-            running: self.own_load.running + self.peer_load.running + unaccounted,
-            pending_prefill_tokens: self.own_load.pending_prefill_tokens
-                + self.peer_load.pending_prefill_tokens,
-        }
+        let unaccounted = Load {
+            running: if fresh { self.unaccounted_running } else { 0 },
+            ..Load::default()
+        };
+        self.reported_load().saturating_add(unaccounted)
     }
 }
 
--- a/stoatjunction_core/tests/entry_pool.rs
+++ b/stoatjunction_core/tests/entry_pool.rs
@@ -6,6 +6,7 @@
 use stoatjunction_core::entry::pool::{
     Decision, Load, PlacementRequest, Pool, RunKey, UpstreamKey,
 };
+use stoatjunction_core::entry::prompt_cache::PromptPart;
 use stoatjunction_core::entry::queue::Queue;
 use stoatjunction_core::entry::upstream_list::ListedUpstream;
 use stoatjunction_core::time::{Span, Time};
@@ -251,6 +252,43 @@
     );
 }
 
+/// Guards against sums of loads that overflow, as callers and other hosts name numbers at the end of their range.
+#[parameterized(
+    of_others = { &[u32::MAX, u32::MAX], &[] },
+    of_this_host = { &[], &[u32::MAX, u32::MAX] },
+    of_both = { &[u32::MAX], &[u32::MAX] },
+)]
+fn loads_at_the_end_of_their_range_are_added_up(peers: &[u32], prompts: &[u32]) {
+    let mut pool = pool(1, 8, 1);
+    let key = UpstreamKey(0);
+    for (peer, n) in peers.iter().enumerate() {
+        let load = Load {
+            running: *n,
+            pending_prefill_tokens: *n,
+        };
+        pool.set_peer_load(peer as u64, vec![(key, load)], START);
+    }
+    let mut runs = Vec::new();
+    for (id, tokens) in prompts.iter().enumerate() {
+        let part = PromptPart {
+            id: id as u32,
+            tokens: *tokens,
+        };
+        runs.push(pool.start_run(key, &[part], START));
+    }
+
+    let running = pool.upstream(key).unwrap().running(START);
+    pool.record_load_report(key, u32::MAX, u32::MAX, START);
+    let _decision = pool.decide(&mut request(0, START, 1), START);
+    for run in runs {
+        pool.record_first_event(run, ms(10));
+        pool.end_run(run, Some(RunOutcome::Success), ms(20));
+    }
+
+    assert_eq!(running, if peers.is_empty() { 2 } else { u32::MAX });
+    assert_eq!(pool.upstream(key).unwrap().own_load(), Load::default());
+}
+
 #[test]
 fn a_load_report_replaces_the_previous_one_of_the_same_host() {
     let mut pool = pool(2, 4, 1);
--- a/stoatjunction_entry/src/relay.rs
+++ b/stoatjunction_entry/src/relay.rs
@@ -169,9 +169,11 @@
             held_tokens: 0,
             ..*l
         });
-        sum.running += l.running;
-        sum.pending_prefill_tokens += l.pending_prefill_tokens;
-        sum.held_tokens += l.held_tokens;
+        sum.running = sum.running.saturating_add(l.running);
+        sum.pending_prefill_tokens = sum
+            .pending_prefill_tokens
+            .saturating_add(l.pending_prefill_tokens);
+        sum.held_tokens = sum.held_tokens.saturating_add(l.held_tokens);
     }
     sums.into_values().collect()
 }
