One connection type for all checks of reads

Three connections that limit what they read forwarded the same writes, and two counters were the same type. CheckedReads forwards them once and takes the check as a closure; the limits of messages, of frames and of callers' input are functions that build one. No limit, log line or order of checks changes.

--- a/stoatjunction_entry/src/caller_input.rs
+++ b/stoatjunction_entry/src/caller_input.rs
@@ -3,16 +3,16 @@
 
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context as TaskContext, Poll};
 use std::time::Duration;
 
 use stoatjunction_core::entry::memory_budget::HeldBytes;
+use stoatjunction_net::checked_reads::{CheckRead, CheckedReads};
 use stoatjunction_net::read_limit::ReadCounter;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
 /// Limits of what a caller has not ended.
+#[derive(Debug)]
 pub(crate) struct InputLimits {
     /// Counts what was read since the last head or data.
     pub(crate) counter: ReadCounter,
@@ -20,113 +20,47 @@
     pub(crate) held: HeldBytes,
     /// Time within which a head that has begun is whole.
     pub(crate) head_timeout: Duration,
-    /// Returns whether the next head is read, and nothing else is in progress.
-    pub(crate) reads_head: Rc<dyn Fn() -> bool>,
 }
 
-/// A caller's connection whose input is limited. Reads fail beyond the limits.
-pub(crate) struct CallerInput<T> {
-    io: T,
-    limits: InputLimits,
-    /// Ends the time of a head that has begun.
-    timeout: Option<Pin<Box<Sleep>>>,
-}
-
-impl<T> CallerInput<T> {
-    pub(crate) fn new(io: T, limits: InputLimits) -> CallerInput<T> {
-        CallerInput {
-            io,
-            limits,
-            timeout: None,
-        }
-    }
-
-    /// Counts what is not ended, if it fits.
-    fn count(&mut self) -> io::Result<()> {
-        let bytes = self.limits.counter.bytes();
-        if bytes == 0 {
-            self.timeout = None;
-        }
-        match self.limits.held.try_set(bytes, false) {
-            true => Ok(()),
-            false => {
-                log::info!("event=unfinished_input_refused bytes={bytes}");
-                Err(io::ErrorKind::OutOfMemory.into())
-            }
-        }
-    }
-
-    /// Waits for more of what is not ended, up to its time.
-    fn poll_timeout(&mut self, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        if self.limits.counter.bytes() == 0 {
-            return Poll::Pending;
-        }
-        let head_timeout = self.limits.head_timeout;
-        let timeout = self
-            .timeout
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(head_timeout)));
-        if timeout.as_mut().poll(cx).is_pending() {
-            return Poll::Pending;
-        }
-        self.timeout = None;
-        match (self.limits.reads_head)() {
-            true => {
+impl InputLimits {
+    /// Has the reads of a caller's connection fail beyond the limits. `reads_head` returns whether the next head is read, and
+    /// nothing else is in progress.
+    pub(crate) fn apply<T, F>(mut self, io: T, reads_head: F) -> CheckedReads<T, impl CheckRead>
+    where
+        F: Fn() -> bool + Unpin,
+    {
+        // Ends the time of a head that has begun.
+        let mut timeout = None;
+        CheckedReads::new(io, move |read: Poll<&[u8]>, cx: &mut TaskContext<'_>| {
+            self.hold()?;
+            if self.counter.bytes() == 0 {
+                timeout = None;
+            } else if read.is_pending() && self.has_passed(&mut timeout, cx) && reads_head() {
                 log::info!("event=head_late");
-                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+                return Err(io::ErrorKind::TimedOut.into());
             }
-            // The end of what is in progress has this polled again.
-            false => Poll::Pending,
-        }
+            Ok(())
+        })
     }
-}
 
-impl<T> AsyncRead for CallerInput<T>
-where
-    T: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
-        self.count()?;
-        match read {
-            Poll::Pending => self.poll_timeout(cx),
-            read => read,
+    /// Counts what is not ended, if it fits.
+    fn hold(&mut self) -> io::Result<()> {
+        let bytes = self.counter.bytes();
+        if self.held.try_set(bytes, false) {
+            return Ok(());
         }
+        log::info!("event=unfinished_input_refused bytes={bytes}");
+        Err(io::ErrorKind::OutOfMemory.into())
     }
-}
 
-impl<T> AsyncWrite for CallerInput<T>
-where
-    T: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+    /// Returns whether the time of a head has passed. It begins anew after that: the end of what else is in progress has the
+    /// connection read again.
+    fn has_passed(&self, timeout: &mut Option<Pin<Box<Sleep>>>, cx: &mut TaskContext<'_>) -> bool {
+        let sleep = timeout.get_or_insert_with(|| Box::pin(tokio::time::sleep(self.head_timeout)));
+        let has_passed = sleep.as_mut().poll(cx).is_ready();
+        if has_passed {
+            *timeout = None;
+        }
+        has_passed
     }
 }
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_core::time::{Span, Time};
-use stoatjunction_net::read_limit::{LimitedConnection, ReadCounter};
+use stoatjunction_net::read_limit::{ReadCounter, limit_reads};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
@@ -129,7 +129,7 @@
 {
     let (counter, unwritten) = (ReadCounter::default(), Unwritten::default());
     let stream = UpstreamIo::new(stream, unwritten.clone());
-    let stream = LimitedConnection::new(stream, counter.clone());
+    let stream = limit_reads(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -16,14 +16,14 @@
 use hyper_util::rt::TokioIo;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::occurrences::Occurrences;
-use stoatjunction_net::read_limit::{CountedBody, LimitedConnection, ReadCounter};
+use stoatjunction_net::read_limit::{CountedBody, ReadCounter, limit_reads};
 use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::body::Body;
 use crate::caller_body::{CallerBody, Discards};
-use crate::caller_input::{CallerInput, InputLimits};
+use crate::caller_input::InputLimits;
 use crate::clock;
 use crate::forward;
 use crate::probe_server;
@@ -167,20 +167,20 @@
         .header_bytes
         .max(MIN_HEAD_BUFFER_BYTES);
     let stream = WatchedConnection::new(stream, progress.clone());
-    let stream = LimitedConnection::new(stream, counter.clone());
+    let stream = limit_reads(stream, counter.clone());
     let input_limits = InputLimits {
         counter,
         held: cx.memory.input(),
         head_timeout: limits.unwrap_or_default().header_timeout.into(),
-        reads_head: {
-            let activity = activity.clone();
-            Rc::new(move || activity.in_progress.get() == 0)
-        },
+    };
+    let reads_head = {
+        let activity = activity.clone();
+        move || activity.in_progress.get() == 0
     };
     let conn = http1::Builder::new()
         .max_buf_size(head_bytes)
         .serve_connection(
-            TokioIo::new(CallerInput::new(stream, input_limits)),
+            TokioIo::new(input_limits.apply(stream, reads_head)),
             service,
         );
     tokio::pin!(conn);
--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -14,7 +14,8 @@
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::list_update::ListUpdate;
 use stoatjunction_net::admin::query_value;
-use stoatjunction_net::frame_limit::{FrameCounter, FrameLimitedConnection};
+use stoatjunction_net::frame_limit::limit_frames;
+use stoatjunction_net::read_limit::ReadCounter;
 use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -125,8 +126,8 @@
 }
 
 async fn send(cx: &Context, stream: TcpStream) -> io::Result<()> {
-    let counter = FrameCounter::default();
-    let stream = FrameLimitedConnection::new(stream, counter.clone());
+    let counter = ReadCounter::default();
+    let stream = limit_frames(stream, counter.clone());
     let handshake = h2::server::Builder::new()
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .handshake(stream);
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -10,7 +10,8 @@
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
 use stoatjunction_net::admin::query_value;
-use stoatjunction_net::frame_limit::{FrameCounter, FrameLimitedConnection};
+use stoatjunction_net::frame_limit::limit_frames;
+use stoatjunction_net::read_limit::ReadCounter;
 use stoatjunction_net::socket_errors::SocketErrors;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -48,8 +49,8 @@
 
 async fn serve_host(cx: &Rc<Context>, stream: TcpStream, open: &Rc<Cell<usize>>) -> io::Result<()> {
     sockets::set_options(&stream)?;
-    let counter = FrameCounter::default();
-    let stream = FrameLimitedConnection::new(stream, counter.clone());
+    let counter = ReadCounter::default();
+    let stream = limit_frames(stream, counter.clone());
     let handshake = h2::server::Builder::new()
         .initial_connection_window_size(WINDOW_BYTES)
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
@@ -102,7 +103,7 @@
     req: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     open: &Cell<usize>,
-    counter: &FrameCounter,
+    counter: &ReadCounter,
 ) -> io::Result<()> {
     let tunnel = OpenTunnel::new(cx, open);
     let connected = match &tunnel {
@@ -147,7 +148,7 @@
 
 /// What the two directions of a tunnel tell each other and the connection that they are on.
 struct Progress<'a> {
-    counter: &'a FrameCounter,
+    counter: &'a ReadCounter,
     /// True once the upstream has broken its connection.
     is_broken: Cell<bool>,
 }
--- a/stoatjunction_net/src/frame_limit.rs
+++ b/stoatjunction_net/src/frame_limit.rs
@@ -4,13 +4,10 @@
 //! would keep the only thread busy. Requests and data are progress; what comes beyond the limit without either breaks the
 //! connection.
 
-use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context as TaskContext, Poll, ready};
+use std::task::Poll;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use crate::checked_reads::{CheckRead, CheckedReads};
+use crate::read_limit::ReadCounter;
 
 /// Bytes of frames other than data that may be read without progress. The requests that may begin at once are smaller, and so are
 /// the frames by which a peer confirms what it was sent.
@@ -22,17 +19,6 @@
 /// Type of a frame with data.
 const DATA: u8 = 0;
 
-/// Bytes of frames other than data since the last progress.
-#[derive(Clone, Debug, Default)]
-pub struct FrameCounter(Arc<AtomicUsize>);
-
-impl FrameCounter {
-    /// Records progress.
-    pub fn reset(&self) {
-        self.0.store(0, Ordering::Relaxed);
-    }
-}
-
 /// Place in the frames that are read.
 #[derive(Debug)]
 struct FrameScanner {
@@ -83,75 +69,11 @@
     }
 }
 
-/// A connection of a client whose frames are limited.
-#[derive(Debug)]
-pub struct FrameLimitedConnection<T> {
-    io: T,
-    scanner: FrameScanner,
-    counter: FrameCounter,
-}
-
-impl<T> FrameLimitedConnection<T> {
-    /// Limits the frames on a connection on which nothing was read yet. The counter has to be reset with each progress.
-    pub fn new(io: T, counter: FrameCounter) -> FrameLimitedConnection<T> {
-        FrameLimitedConnection {
-            io,
-            scanner: FrameScanner::new(),
-            counter,
-        }
-    }
-}
-
-impl<T> AsyncRead for FrameLimitedConnection<T>
-where
-    T: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
-        let read = self.scanner.scan(&buf.filled()[before..]);
-        let total = self.counter.0.fetch_add(read, Ordering::Relaxed) + read;
-        if total > MAX_BYTES {
-            log::info!("event=endless_frames bytes={total}");
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<T> AsyncWrite for FrameLimitedConnection<T>
-where
-    T: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
+/// Limits the frames on a client's connection, on which nothing was read yet. The counter has to be reset with each progress.
+pub fn limit_frames<T>(io: T, counter: ReadCounter) -> CheckedReads<T, impl CheckRead> {
+    let mut scanner = FrameScanner::new();
+    CheckedReads::new(io, move |read, _| match read {
+        Poll::Pending => Ok(()),
+        Poll::Ready(bytes) => counter.add(scanner.scan(bytes), MAX_BYTES, "endless_frames"),
+    })
 }
--- a/stoatjunction_net/src/http.rs
+++ b/stoatjunction_net/src/http.rs
@@ -23,7 +23,7 @@
 use tokio::task::JoinSet;
 
 use crate::outgoing;
-use crate::read_limit::{CountedBody, LimitedConnection, ReadCounter};
+use crate::read_limit::{CountedBody, ReadCounter, limit_reads};
 use crate::socket_errors::SocketErrors;
 
 /// Largest response to a call in bytes. Lists come in pages of about one megabyte.
@@ -116,7 +116,7 @@
 ) -> io::Result<Response<Bytes>> {
     let exchange = async {
         let counter = ReadCounter::default();
-        let stream = LimitedConnection::new(open(addr, timeout).await?, counter.clone());
+        let stream = limit_reads(open(addr, timeout).await?, counter.clone());
         let mut sender = handshake(stream).await?;
         let res = sender.send_request(req).await.map_err(io::Error::other)?;
         let (head, body) = res.into_parts();
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod bundle;
+pub mod checked_reads;
 pub mod clock;
 pub mod daemon;
 pub mod event;
--- a/stoatjunction_net/src/read_limit.rs
+++ b/stoatjunction_net/src/read_limit.rs
@@ -13,7 +13,8 @@
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::checked_reads::{CheckRead, CheckedReads};
 
 /// Bytes that may be read without progress. The largest head that is accepted and the library's buffers
 /// are smaller.
@@ -29,6 +30,20 @@
         self.0.store(0, Ordering::Relaxed);
     }
 
+    /// Counts bytes that were read without progress.
+    ///
+    /// # Errors
+    ///
+    /// An error, logged as `event`, if they are more than `max_bytes` by now.
+    pub fn add(&self, bytes: usize, max_bytes: usize, event: &str) -> io::Result<()> {
+        let total = self.0.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if total > max_bytes {
+            log::info!("event={event} bytes={total}");
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
     /// Returns the bytes that were read since the last progress.
     pub fn bytes(&self) -> usize {
         self.0.load(Ordering::Relaxed)
@@ -40,72 +55,12 @@
     }
 }
 
-/// A connection whose reads are limited.
-#[derive(Debug)]
-pub struct LimitedConnection<T> {
-    io: T,
-    counter: ReadCounter,
-}
-
-impl<T> LimitedConnection<T> {
-    /// Limits the reads of a connection. The counter has to be reset with each progress.
-    pub fn new(io: T, counter: ReadCounter) -> LimitedConnection<T> {
-        LimitedConnection { io, counter }
-    }
-}
-
-impl<T> AsyncRead for LimitedConnection<T>
-where
-    T: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
-        let read = buf.filled().len() - before;
-        let total = self.counter.0.fetch_add(read, Ordering::Relaxed) + read;
-        if total > MAX_BYTES {
-            log::info!("event=endless_message bytes={total}");
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<T> AsyncWrite for LimitedConnection<T>
-where
-    T: AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut TaskContext<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut TaskContext<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
+/// Limits what may be read from a connection without progress. The counter has to be reset with each progress.
+pub fn limit_reads<T>(io: T, counter: ReadCounter) -> CheckedReads<T, impl CheckRead> {
+    CheckedReads::new(io, move |read, _| match read {
+        Poll::Pending => Ok(()),
+        Poll::Ready(bytes) => counter.add(bytes.len(), MAX_BYTES, "endless_message"),
+    })
 }
 
 /// The body of a message, whose data is progress.
--- a/stoatjunction_net/tests/frame_limit.rs
+++ b/stoatjunction_net/tests/frame_limit.rs
@@ -2,7 +2,8 @@
 
 use std::io;
 
-use stoatjunction_net::frame_limit::{FrameCounter, FrameLimitedConnection};
+use stoatjunction_net::frame_limit::limit_frames;
+use stoatjunction_net::read_limit::ReadCounter;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use yare::parameterized;
 
@@ -24,9 +25,9 @@
 
 /// Reads the frame again and again, in pieces of `piece` bytes, with progress after each frame if `is_progress`.
 async fn read(frame: Vec<u8>, piece: usize, is_progress: bool) -> io::Result<usize> {
-    let counter = FrameCounter::default();
+    let counter = ReadCounter::default();
     let (mut peer, io) = tokio::io::duplex(piece);
-    let mut io = FrameLimitedConnection::new(io, counter.clone());
+    let mut io = limit_frames(io, counter.clone());
     let frames = frame.repeat(MANY_BYTES / frame.len());
     let sent = tokio::spawn(async move {
         peer.write_all(PREFACE).await?;
