Stand-ins: an upstream that has ended refuses connections although a process is being started

A host's check of an upstream that had just ended was accepted (break_not_blamed how=closed), for one or several ends in a row.

Cause: tests start hosts while others run. Between fork and exec the new process holds copies of the listeners, so that closing one in the test does not end it; connections accepted later are no copies and end at once. On a busy machine that lasts for milliseconds. A real upstream that ends has no such process.

Change: stand-ins shut a listener down, which holds for all copies, before they close their connections.

Result: a listener with a copy refuses connections, red with a close alone.

--- a/stoatjunction_standin/src/early_upstream.rs
+++ b/stoatjunction_standin/src/early_upstream.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use crate::crash;
+use crate::listener::stop_listening;
 use crate::reserved_port::ReservedPort;
 use crate::stream_shape::{Framing, event_text};
 
@@ -159,7 +160,7 @@
             _ended = is_up.wait_for(|up| !up) => {}
         }
         // A process that ends refuses connections before its open ones are closed.
-        drop(listener);
+        stop_listening(listener);
     }
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod faulty_reply;
 pub mod host_list;
 pub mod link;
+pub mod listener;
 pub mod metadata_store;
 pub mod object_api;
 pub mod plain;
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -20,6 +20,7 @@
 use crate::drawn_stream::{self, DrawnRun, RunDraw, RunRequest};
 use crate::endless;
 use crate::faulty_reply::{self, FaultyReply};
+use crate::listener::stop_listening;
 use crate::reserved_port::ReservedPort;
 use crate::stream_shape::{self, After, StreamShape};
 
@@ -268,7 +269,8 @@
             let Ok(ended) = ended else { return };
             if ended == Status::Down {
                 // A process that ends refuses connections before its open ones are closed.
-                drop((listener, connections));
+                stop_listening(listener);
+                drop(connections);
                 let _sender_is_held = status.wait_for(|s| *s == Status::Up).await;
             } else {
                 let _filling = crash::stop_accepting(&listener).await;
