A new owner of a shard declines infeasible requests at once

Cause: a new owner waits 200 ms for gateways to declare what runs. By the logs the shard was held for 103 ms when the request came, and decided on nothing until the deadline had passed. That a request is infeasible does not depend on what runs.

Change: during that time newly queued requests that are infeasible are declined; all others wait as before.

--- a/stoatjunction_core/src/shard/mod.rs
+++ b/stoatjunction_core/src/shard/mod.rs
@@ -366,6 +366,8 @@
                 self.preempt(now, quarantine);
                 self.shed(now);
             }
+        } else {
+            self.decline_infeasible(now);
         }
         std::mem::take(&mut self.actions)
     }
--- a/stoatjunction_core/src/shard/shedding.rs
+++ b/stoatjunction_core/src/shard/shedding.rs
@@ -78,6 +78,20 @@
         }
     }
 
+    /// Declines requests queued since the last round that could not meet their deadline even alone, whatever runs.
+    pub(super) fn decline_infeasible(&mut self, now: Time) {
+        let newly_queued = self
+            .newly_queued
+            .iter()
+            .filter_map(|id| self.queue.get(*id));
+        let shed = newly_queued.filter_map(|q| self.shed_reason(q, now, true));
+        let infeasible = shed.filter(|(_, code)| *code == Code::Infeasible);
+        let infeasible: Vec<TicketId> = infeasible.map(|(id, _)| id).collect();
+        for id in infeasible {
+            self.decline(id, Code::Infeasible, self.backlog_duration());
+        }
+    }
+
     /// Sheds requests that cannot meet their deadline, except those that could use an upstream on
     /// which a lower tier runs. Also trims the queue to its limit.
     pub(super) fn shed(&mut self, now: Time) {
--- a/stoatjunction_core/tests/shard.rs
+++ b/stoatjunction_core/tests/shard.rs
@@ -31,12 +31,17 @@
 
 /// Returns a shard past its takeover grace with upstreams of the given slots, all up.
 fn shard(slots: &[u32]) -> Shard {
+    shard_since(Time(0), slots)
+}
+
+/// Returns a shard that this process owns since `created`.
+fn shard_since(created: Time, slots: &[u32]) -> Shard {
     let id = ShardId {
         dc: "d".to_owned(),
         service: "s".to_owned(),
         index: 0,
     };
-    let mut shard = Shard::new(id, ShardSettings::default(), Time(0));
+    let mut shard = Shard::new(id, ShardSettings::default(), created);
     let specs: Vec<UpstreamSpec> = slots
         .iter()
         .enumerate()
@@ -299,6 +304,32 @@
     assert_eq!(code.unwrap_or(Code::Internal), expected);
 }
 
+/// Guards against infeasible requests that expire while a new owner learns what runs.
+#[test]
+fn an_infeasible_request_is_declined_at_once_by_a_new_owner() {
+    let mut shard = shard_since(Time(SECOND - 1), &[1]);
+    shard.enqueue(
+        Ticket {
+            deadline: Time(1_050_000),
+            ..ticket(1, 0)
+        },
+        Time(SECOND),
+    );
+    shard.enqueue(ticket(2, 0), Time(SECOND));
+
+    let actions = schedule(&mut shard, SECOND);
+
+    let declined = matches!(
+        actions[..],
+        [Action::Decline {
+            code: Code::Infeasible,
+            ..
+        }]
+    );
+    assert!(declined, "{actions:?}");
+    assert_eq!(granted(&schedule(&mut shard, 2 * SECOND)), [2]);
+}
+
 #[test]
 fn requests_go_to_the_upstream_that_caches_their_prefix() {
     let mut shard = shard(&[4, 4]);
