The sum of what callers' connections hold fits in the memory of the host

Callers saw a host end: 1,700 that read nothing or slowly took 138 and 157 MB at a host of 88 MB and 110 to 158 MB at one of 110 MB, mostly of the process; senders ahead up to 262 MB at one of 260 MB.

Cause: what a connection may hold was bounded, in the process and in the kernel, but only files bounded how many there are. Beside that, each upstream's read buffer of 64 KB is held several times while a response waits.

Change: a caller's connection counts 320 KB of the memory, so that a host of 88 MB takes 281, one of 260 MB 832. When there is no room, the connection that has been idle for longest gives way, or else one whose request has not ended; one with a run or a response never does. A host without any room is not ready, so that the balancer stops sending it callers (before, it closed new connections and said it was ready). Buffers of callers are sized for their number, also before they are accepted; the buffer for upstreams is 32 KB.

Taking events in parts of 8 KB changed nothing, and is not in.

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod assessment;
 pub mod call_pacing;
+pub mod caller_limit;
 pub mod capacity;
 pub mod capacity_reports;
 pub mod config;
--- a/stoatjunction_core/src/entry/socket_buffers.rs
+++ b/stoatjunction_core/src/entry/socket_buffers.rs
@@ -1,8 +1,10 @@
 //! How much the kernel may hold for a connection. What it has received and the process has not read counts as memory of the
 //! process, as may what was written and the peer has not taken.
 
-/// Connections to upstreams whose buffers are full at once, and as many of callers.
-const FULL_CONNECTIONS: usize = 256;
+use crate::entry::caller_limit::max_callers;
+
+/// Connections to upstreams whose buffers are full at once. They are as many as requests run.
+const FULL_UPSTREAM_CONNECTIONS: usize = 256;
 /// Parts of the memory limit that full buffers of one direction may take on either side, as divisors. The kernel takes twice
 /// what it is asked for, mostly for its own records.
 const RECEIVE_DIVISOR: usize = 8;
@@ -25,13 +27,27 @@
 }
 
 impl SocketBuffers {
-    /// Returns the sizes for a process whose memory is limited, if the settings name a limit.
-    pub fn of(memory_limit_mb: Option<u64>) -> SocketBuffers {
-        let limit = memory_limit_mb.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1 << 20));
-        let share = |divisor| limit / divisor / FULL_CONNECTIONS;
+    /// Returns the sizes for connections to upstreams of a process whose memory is limited, if the settings name a limit.
+    pub fn of_upstreams(memory_limit_mb: Option<u64>) -> SocketBuffers {
+        let limit = limit_bytes(memory_limit_mb);
+        let share = |divisor| limit / divisor / FULL_UPSTREAM_CONNECTIONS;
         SocketBuffers {
             receive: share(RECEIVE_DIVISOR).clamp(MIN_RECEIVE_BYTES, MAX_BYTES),
             send: share(SEND_DIVISOR).clamp(MIN_SEND_BYTES, MAX_BYTES),
         }
     }
+
+    /// Returns the same for connections of callers, all of which may be full at once.
+    pub fn of_callers(memory_limit_mb: Option<u64>) -> SocketBuffers {
+        let limit = limit_bytes(memory_limit_mb);
+        let share = |divisor| limit / divisor / max_callers(memory_limit_mb);
+        SocketBuffers {
+            receive: share(RECEIVE_DIVISOR).clamp(MIN_RECEIVE_BYTES, MAX_BYTES),
+            send: share(SEND_DIVISOR).clamp(MIN_SEND_BYTES, MAX_BYTES),
+        }
+    }
+}
+
+fn limit_bytes(memory_limit_mb: Option<u64>) -> usize {
+    memory_limit_mb.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1 << 20))
 }
--- a/stoatjunction_core/tests/entry_socket_buffers.rs
+++ b/stoatjunction_core/tests/entry_socket_buffers.rs
@@ -1,5 +1,6 @@
 //! Buffers of connections follow the memory of a host.
 
+use stoatjunction_core::entry::caller_limit::max_callers;
 use stoatjunction_core::entry::socket_buffers::{
     MAX_BYTES, MIN_RECEIVE_BYTES, MIN_SEND_BYTES, SocketBuffers,
 };
@@ -14,5 +15,21 @@
     out_of_range = { Some(u64::MAX), MAX_BYTES, MAX_BYTES },
 )]
 fn buffers_follow_the_memory_of_the_process(limit_mb: Option<u64>, receive: usize, send: usize) {
-    assert_eq!(SocketBuffers::of(limit_mb), SocketBuffers { receive, send });
+    let buffers = SocketBuffers::of_upstreams(limit_mb);
+
+    assert_eq!(buffers, SocketBuffers { receive, send });
+}
+
+#[parameterized(
+    unlimited = { None },
+    tiny = { Some(16) },
+    small = { Some(88) },
+    large = { Some(512) },
+)]
+fn buffers_of_all_callers_fit_in_the_memory_of_the_process(limit_mb: Option<u64>) {
+    let buffers = SocketBuffers::of_callers(limit_mb);
+
+    let all = max_callers(limit_mb) * (buffers.receive + buffers.send);
+    let limit = limit_mb.map_or(usize::MAX, |mb| mb as usize * (1 << 20));
+    assert!(all <= limit / 2, "{all} of {limit}");
 }
--- a/stoatjunction_entry/src/caller_body.rs
+++ b/stoatjunction_entry/src/caller_body.rs
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Discards {
     in_progress: Cell<usize>,
+    /// True while the body of the request in progress is not read to its end.
+    is_unread: Cell<bool>,
     /// True once a body was discarded that may not end in time.
     has_large: Cell<bool>,
     ended: Notify,
@@ -41,6 +43,11 @@
         self.in_progress.get() > 0
     }
 
+    /// Returns whether the body of a request is being read, so that the request has not run.
+    pub(crate) fn is_body_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
     /// Returns whether the connection may have to be closed before the next request on it is read.
     pub(crate) fn may_not_end(&self) -> bool {
         self.has_large.get()
@@ -103,6 +110,7 @@
         cx: &Rc<Context>,
         discards: &Rc<Discards>,
     ) -> CallerBody {
+        discards.is_unread.set(!body.is_end_stream());
         CallerBody {
             body: Some(body),
             is_requested: false,
@@ -129,6 +137,7 @@
         let frame = ready!(Pin::new(body).poll_frame(cx));
         if !matches!(frame, Some(Ok(_))) {
             self.body = None;
+            self.discards.is_unread.set(false);
         }
         Poll::Ready(frame)
     }
@@ -145,6 +154,7 @@
 
 impl Drop for CallerBody {
     fn drop(&mut self) {
+        self.discards.is_unread.set(false);
         let is_sent = self.is_requested || !self.expects_continue;
         let may_discard = is_sent && self.cx.discards.get() < MAX_DISCARDS;
         if self.is_end_stream() || !may_discard {
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -23,6 +23,9 @@
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
 /// has a full accept queue or is gone.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Buffer for what is read from an upstream, in bytes, which bounds the head of a response. The HTTP library takes a few times as
+/// much while a response waits for its caller.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Idle timeout when the upstream states none, and the longest one used.
 const DEFAULT_IDLE_TIMEOUT: Span = Span::from_millis(3_000);
 /// Margin before the upstream's own idle timeout after which a connection is no longer reused.
@@ -131,7 +134,7 @@
     let stream = UpstreamIo::new(stream, unwritten.clone());
     let stream = limit_reads(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
-        .max_buf_size(64 * 1024)
+        .max_buf_size(READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -90,7 +90,7 @@
     let cx = Rc::new(Context::new(settings, names, metrics, file_shares));
     let settings = &cx.settings;
     let bound = tokio::select! {
-        bound = ingress::bind(settings.callers, settings.ready) => bound,
+        bound = ingress::bind(settings.callers, settings.ready, cx.caller_buffers) => bound,
         () = stop::wait(&stop, Stop::Graceful) => return Ok(ShutdownOutcome::Drained),
     };
     let (callers, ready) = bound
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -1,6 +1,6 @@
 //! Connections of callers, and the readiness endpoint for the balancer.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -14,15 +14,19 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use stoatjunction_core::time::{Span, Time};
+use stoatjunction_core::entry::socket_buffers::SocketBuffers;
+use stoatjunction_core::time::Span;
 use stoatjunction_net::occurrences::Occurrences;
-use stoatjunction_net::read_limit::{CountedBody, ReadCounter, limit_reads};
+use stoatjunction_net::read_limit::{CountedBody, limit_reads};
 use stoatjunction_net::socket_errors::{SocketErrors, concerns_one_peer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::body::Body;
-use crate::caller_body::{CallerBody, Discards};
+use crate::caller_body::CallerBody;
+use crate::caller_connections::{
+    ActiveRequest, Activity, FIRST_REQUEST_TIME, OpenConnection, WrittenBody,
+};
 use crate::caller_input::InputLimits;
 use crate::clock;
 use crate::forward;
@@ -30,12 +34,12 @@
 use crate::sockets;
 use crate::state::{Context, InProgress, Phase};
 use crate::stream_buffer::CallerConnection;
-use crate::write_watch::{WatchedConnection, WriteProgress};
+use crate::write_watch::WatchedConnection;
 
-/// Time within which the first request on a new connection arrives: callers are a few milliseconds away.
-const FIRST_REQUEST_TIME: Span = Span::from_millis(300);
 /// Time within which a connection that is being opened is open.
 const OPENING_TIME: Duration = Duration::from_millis(20);
+/// Time for other connections before one is refused for which there is no room.
+const ROOM_PAUSE: Duration = Duration::from_millis(2);
 /// Smallest buffer for request heads that the HTTP library accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -43,8 +47,6 @@
 /// their callers count on an answer.
 pub(crate) async fn accept(cx: Rc<Context>, listener: TcpListener, phase: watch::Receiver<Phase>) {
     let callers = Callers {
-        open: Rc::new(Cell::new(0)),
-        max_open: cx.file_shares.callers,
         refused: RefCell::default(),
         phase: phase.clone(),
         cx,
@@ -56,6 +58,10 @@
             (stream, _) = errors.accept(&listener) => stream,
             _ = closing.wait_for(|p| *p == Phase::Closing) => break,
         };
+        if !callers.cx.callers.has_room() {
+            // Those accepted just now may be read, and those that leave may end.
+            tokio::time::sleep(ROOM_PAUSE).await;
+        }
         callers.admit(stream);
     }
     if let Err(e) = callers.admit_last(listener).await {
@@ -63,37 +69,31 @@
     }
 }
 
-/// Connections of callers.
+/// Takes connections of callers.
 struct Callers {
     cx: Rc<Context>,
-    open: Rc<Cell<usize>>,
-    max_open: usize,
-    /// Connections that were closed because too many were open.
+    /// Connections that were closed because there was no room.
     refused: RefCell<Occurrences>,
     phase: watch::Receiver<Phase>,
 }
 
 impl Callers {
-    /// Serves a connection, if not too many are open.
+    /// Serves a connection, if there is room for it.
     fn admit(&self, stream: TcpStream) {
-        if self.open.get() >= self.max_open {
+        let Some(connection) = OpenConnection::open(&self.cx) else {
             return self.log_refused();
-        }
-        let open = self.open.clone();
-        open.set(open.get() + 1);
+        };
         let (cx, phase) = (self.cx.clone(), self.phase.clone());
         if *phase.borrow() != Phase::Serving {
             expect_request(&cx);
         }
-        tokio::task::spawn_local(async move {
-            serve(cx, stream, phase).await;
-            open.set(open.get() - 1);
-        });
+        tokio::task::spawn_local(serve(cx, stream, connection, phase));
     }
 
     fn log_refused(&self) {
+        self.cx.metrics.count("callers_without_room", &[]);
         if let Some(count) = self.refused.borrow_mut().record(Instant::now()) {
-            let open = self.open.get();
+            let open = self.cx.callers.count();
             log::warn!("event=too_many_connections open={open} count={count}");
         }
     }
@@ -134,16 +134,21 @@
     });
 }
 
-async fn serve(cx: Rc<Context>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
-    if let Err(e) = sockets::set_caller_options(&stream, cx.buffers) {
+async fn serve(
+    cx: Rc<Context>,
+    stream: TcpStream,
+    connection: OpenConnection,
+    mut phase: watch::Receiver<Phase>,
+) {
+    if let Err(e) = sockets::set_caller_options(&stream, cx.caller_buffers) {
         log::debug!("event=socket_options_failed reason={e}");
     }
-    let activity = Rc::new(Activity::default());
-    let counter = ReadCounter::default();
-    let (caller, progress) = (CallerConnection::default(), Rc::<WriteProgress>::default());
+    let activity = connection.activity.clone();
+    let (counter, progress) = (activity.counter.clone(), activity.progress.clone());
+    let caller = CallerConnection::default();
     let service = {
         let (cx, activity, counter) = (cx.clone(), activity.clone(), counter.clone());
-        let (caller, progress) = (caller.clone(), progress.clone());
+        let caller = caller.clone();
         service_fn(move |req: Request<Incoming>| {
             let expects_continue = req.headers().contains_key(EXPECT);
             let max_discarded = max_body_bytes(&cx);
@@ -158,7 +163,7 @@
                 )
             });
             req.extensions_mut().insert(caller.clone());
-            handle(cx.clone(), activity.clone(), progress.clone(), req)
+            handle(cx.clone(), activity.clone(), req)
         })
     };
     let limits = cx.state.borrow().routes.as_ref().map(|r| r.cfg().limits);
@@ -195,6 +200,14 @@
                 return;
             }
             () = closes(&mut phase, &activity) => break,
+            () = activity.leaves.notified() => {
+                cx.metrics.count("callers_gave_way", &[]);
+                // Nothing of its request has run.
+                if activity.is_unfinished() {
+                    return;
+                }
+                break;
+            }
             () = tokio::time::sleep_until(clock::instant(idle_at)) => {
                 let idle = activity.in_progress.get() == 0 && !activity.discards.are_in_progress();
                 if idle && clock::now() >= activity.last_used_at.get() + idle_timeout(&cx) {
@@ -238,60 +251,11 @@
     limits.unwrap_or_default().idle_timeout
 }
 
-/// Activity on a connection, for its idle timeout.
-struct Activity {
-    opened_at: Time,
-    /// True once a request has begun.
-    has_begun: Cell<bool>,
-    last_used_at: Cell<Time>,
-    in_progress: Cell<usize>,
-    discards: Rc<Discards>,
-}
-
-impl Default for Activity {
-    fn default() -> Activity {
-        Activity {
-            opened_at: clock::now(),
-            has_begun: Cell::new(false),
-            last_used_at: Cell::new(clock::now()),
-            in_progress: Cell::new(0),
-            discards: Rc::default(),
-        }
-    }
-}
-
-/// Request in progress on a connection. Dropping it ends the request.
-struct ActiveRequest {
-    activity: Rc<Activity>,
-    _in_progress: InProgress,
-}
-
-impl ActiveRequest {
-    fn new(cx: &Rc<Context>, activity: &Rc<Activity>) -> ActiveRequest {
-        activity.has_begun.set(true);
-        activity.in_progress.set(activity.in_progress.get() + 1);
-        ActiveRequest {
-            activity: activity.clone(),
-            _in_progress: InProgress::new(cx),
-        }
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.activity
-            .in_progress
-            .set(self.activity.in_progress.get() - 1);
-        self.activity.last_used_at.set(clock::now());
-    }
-}
-
 async fn handle(
     cx: Rc<Context>,
     activity: Rc<Activity>,
-    progress: Rc<WriteProgress>,
     req: Request<CallerBody>,
-) -> Result<Response<Body>, Infallible> {
+) -> Result<Response<WrittenBody>, Infallible> {
     let _active = ActiveRequest::new(&cx, &activity);
     let takes_chunks = req.version() >= Version::HTTP_11;
     let mut res = forward::handle(cx.clone(), req).await;
@@ -300,9 +264,9 @@
         res.headers_mut().insert(CONNECTION, close);
     }
     if res.body().is_stream() && !takes_chunks {
-        progress.ends_with_connection();
+        activity.progress.ends_with_connection();
     }
-    Ok(res)
+    Ok(res.map(|body| WrittenBody::new(body, &activity)))
 }
 
 /// Answers the balancer's readiness checks until the process ends.
@@ -311,7 +275,9 @@
     let respond = move |_: &Request<Incoming>| {
         // Without its port for heartbeats the host would take itself for the only one.
         let hears_hosts = cx.gossip_socket.get().is_some();
-        readiness_response(hears_hosts && cx.state.borrow().is_ready(clock::now()))
+        // The balancer sends new connections to hosts that are ready.
+        let takes_callers = cx.callers.has_room();
+        readiness_response(hears_hosts && takes_callers && cx.state.borrow().is_ready(clock::now()))
     };
     probe_server::serve(listener, "readiness", max_open, respond).await;
 }
@@ -328,8 +294,9 @@
 pub(crate) async fn bind(
     callers: SocketAddr,
     ready: SocketAddr,
+    buffers: SocketBuffers,
 ) -> io::Result<(TcpListener, TcpListener)> {
     let ready = sockets::listen_when_possible(ready, "readiness").await?;
-    let callers = sockets::listen_when_possible(callers, "callers").await?;
+    let callers = sockets::listen_for_callers(callers, buffers).await?;
     Ok((callers, ready))
 }
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod buffered;
 mod caller_body;
+mod caller_connections;
 mod caller_input;
 mod capacity_reports;
 mod catch_up;
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -255,6 +255,7 @@
         ),
         ("requests_barred".to_owned(), barred.to_string()),
     ];
+    all.extend(memory_gauges(cx));
     all.extend(protocol_gauges(cx, &state, now));
     for phase in StartPhase::ALL {
         if let Some(after) = state.start_trace.reached(phase) {
@@ -286,7 +287,17 @@
     all
 }
 
-/// Returns the learned capacity of the upstreams of a service that state a pace.
+/// Returns what takes memory, and how much of it may.
+fn memory_gauges(cx: &Context) -> [(String, String); 4] {
+    let values = [
+        ("callers_open", cx.callers.count()),
+        ("callers_max", cx.callers.max()),
+        ("bodies_held_bytes", cx.memory.held()),
+        ("bodies_max_bytes", cx.memory.limit()),
+    ];
+    values.map(|(name, value)| (name.to_owned(), value.to_string()))
+}
+
 /// Returns what the other hosts speak.
 fn protocol_gauges(cx: &Context, state: &SharedState, now: Time) -> [(String, String); 3] {
     let own = cx.settings.protocol();
@@ -302,6 +313,7 @@
     ]
 }
 
+/// Returns the learned capacity of the upstreams of a service that state a pace.
 fn capacity_gauges(service: &str, capacity: &CapacitySummary) -> Vec<(String, String)> {
     let values = [
         ("upstreams_stating_pace", capacity.upstreams.to_string()),
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -107,7 +107,16 @@
     addr: SocketAddr,
     purpose: &str,
 ) -> io::Result<TcpListener> {
-    open_when_possible(addr, purpose, || ready(listen(addr))).await
+    open_when_possible(addr, purpose, || ready(listen(addr, None))).await
+}
+
+/// Listens for callers on `addr` as soon as that is possible. What they send before their connections are accepted is limited
+/// as well.
+pub(crate) async fn listen_for_callers(
+    addr: SocketAddr,
+    buffers: SocketBuffers,
+) -> io::Result<TcpListener> {
+    open_when_possible(addr, "callers", || ready(listen(addr, Some(buffers)))).await
 }
 
 /// Binds a socket for datagrams to `addr` as soon as that is possible.
@@ -120,11 +129,14 @@
     open_when_possible(addr, purpose, || ready(bind())).await
 }
 
-/// Listens on `addr`.
-fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+/// Listens on `addr`, with these buffers of connections that are not accepted yet.
+fn listen(addr: SocketAddr, buffers: Option<SocketBuffers>) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    if let Some(buffers) = buffers {
+        socket.set_recv_buffer_size(buffers.receive)?;
+    }
     socket.bind(&addr.into())?;
     socket.listen(ACCEPT_BACKLOG)?;
     TcpListener::from_std(socket.into())
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use indexmap::{IndexMap, IndexSet};
+use stoatjunction_core::entry::caller_limit::max_callers;
 use stoatjunction_core::entry::config::Configuration;
 use stoatjunction_core::entry::crash::Crash;
 use stoatjunction_core::entry::crash_causes::CrashCauses;
@@ -36,6 +37,7 @@
 use tokio::sync::Notify;
 
 use crate::attempt::UpstreamRequest;
+use crate::caller_connections::CallerConnections;
 use crate::capacity_reports;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
@@ -222,8 +224,12 @@
     pub(crate) discards: Cell<usize>,
     /// Budget for the bodies in memory.
     pub(crate) memory: MemoryBudget,
-    /// What the kernel may hold for a connection.
-    pub(crate) buffers: SocketBuffers,
+    /// Open connections of callers.
+    pub(crate) callers: CallerConnections,
+    /// What the kernel may hold for a connection of a caller.
+    pub(crate) caller_buffers: SocketBuffers,
+    /// The same for a connection to an upstream.
+    pub(crate) upstream_buffers: SocketBuffers,
 }
 
 impl Context {
@@ -280,7 +286,8 @@
         let (reachable, known) = state.reachable_hosts(now);
         state.rate_limiter.set_reachable(reachable, known, now);
         let memory = MemoryBudget::new(memory_budget::budget_bytes(settings.memory_limit_mb));
-        let buffers = SocketBuffers::of(settings.memory_limit_mb);
+        let memory_limit_mb = settings.memory_limit_mb;
+        let max_callers = file_shares.callers.min(max_callers(memory_limit_mb));
         Context {
             settings,
             file_shares,
@@ -303,7 +310,9 @@
             in_progress: Cell::new(0),
             discards: Cell::new(0),
             memory,
-            buffers,
+            callers: CallerConnections::new(max_callers),
+            caller_buffers: SocketBuffers::of_callers(memory_limit_mb),
+            upstream_buffers: SocketBuffers::of_upstreams(memory_limit_mb),
         }
     }
 
--- a/stoatjunction_entry/src/tunnel_server.rs
+++ b/stoatjunction_entry/src/tunnel_server.rs
@@ -212,7 +212,8 @@
     if upstream_connections::is_cut_off(cx, service) {
         return Err(UNAVAILABLE);
     }
-    let connected = sockets::connect_to_upstream(&target.addr, CONNECT_TIMEOUT, cx.buffers).await;
+    let connected =
+        sockets::connect_to_upstream(&target.addr, CONNECT_TIMEOUT, cx.upstream_buffers).await;
     let e = match connected {
         Ok(stream) => return Ok(stream),
         Err(e) => e,
--- a/stoatjunction_entry/src/write_watch.rs
+++ b/stoatjunction_entry/src/write_watch.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns whether a write waits for the caller.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.waits_since.get().is_some()
+    }
+
     /// Records that only the end of the connection tells the caller that the next response is whole.
     pub(crate) fn ends_with_connection(&self) {
         self.ends_with_connection.set(true);
