Tasks of the entry daemon that panic are started again

A task that panicked was logged, and what it did was gone until the process ended: a host would go on as ready without heartbeats, or with the configuration of that moment. Not covered: accepting callers, readiness and following the settings, which own a listener or a signal.

--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -10,6 +10,7 @@
 use stoatjunction_net::daemon::ShutdownOutcome;
 use stoatjunction_net::open_files;
 use stoatjunction_net::stop::{self, Stop, StopRx};
+use stoatjunction_net::supervised::supervise;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -40,6 +41,9 @@
 /// Interval for deciding on waiting requests that become due.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// A task of the daemon's only thread.
+type LocalTask = std::pin::Pin<Box<dyn Future<Output = ()>>>;
+
 /// Signals of the process.
 #[derive(Debug)]
 pub struct Signals {
@@ -108,58 +112,82 @@
         settings.dc
     );
     let (phase_tx, phase) = watch::channel(Phase::Serving);
-    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    let spawn = tokio::task::spawn_local::<LocalTask>;
     spawn(Box::pin(ingress::accept(cx.clone(), callers, phase)));
     spawn(Box::pin(ingress::serve_readiness(cx.clone(), ready)));
-    spawn(Box::pin(listen(
-        cx.clone(),
-        metrics,
-        "metrics",
-        metrics::serve,
-    )));
-    spawn(Box::pin(listen(
-        cx.clone(),
-        snapshots,
-        "snapshots",
-        snapshot::serve,
-    )));
-    spawn(Box::pin(listen(
-        cx.clone(),
-        tunnels,
-        "tunnels",
-        tunnel_server::serve,
-    )));
     spawn(Box::pin(run_gossip(cx.clone())));
-    spawn(Box::pin(tick(cx.clone())));
-    spawn(Box::pin(store_watch::apply_removals(cx.clone())));
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
-    spawn(Box::pin(crash_writer::run(cx.clone(), store.clone())));
-    spawn(Box::pin(rendezvous::run(cx.clone(), store.clone())));
-    spawn(Box::pin(crash_probes::run(cx.clone(), store.clone())));
-    spawn(Box::pin(stored_origins::write(cx.clone(), store.clone())));
-    spawn(Box::pin(stored_origins::read(cx.clone(), store.clone())));
-    for topic in [Topic::Configuration, Topic::Upstreams, Topic::Crashes] {
-        spawn(Box::pin(store_watch::follow(
-            cx.clone(),
-            store.clone(),
-            topic,
-        )));
-    }
-    if cx.settings.rollout.is_some() {
-        spawn(Box::pin(store_watch::follow(
-            cx.clone(),
-            store.clone(),
-            Topic::Rollouts,
-        )));
-        spawn(Box::pin(rollouts::run(cx.clone())));
-        spawn(Box::pin(rollout_writer::run(cx.clone(), store.clone())));
-    }
+    spawn_listeners(&cx, [metrics, snapshots, tunnels]);
+    spawn_supervised("tick", &cx, tick);
+    spawn_supervised("removals", &cx, store_watch::apply_removals);
+    spawn_store_tasks(&cx, &store);
     stop::wait(&stop, Stop::Graceful).await;
     let ended = shut_down(&cx, &phase_tx).await;
     log::info!("event=stopped ended={ended:?}");
     Ok(ended)
 }
 
+/// Spawns a task that needs the context only, and is started again if it panics.
+fn spawn_supervised<F, Fut>(name: &'static str, cx: &Rc<Context>, task: F)
+where
+    F: Fn(Rc<Context>) -> Fut + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    let cx = cx.clone();
+    tokio::task::spawn_local(async move { supervise(name, || task(cx.clone())).await });
+}
+
+/// Spawns the servers of the ports that callers do not need.
+fn spawn_listeners(cx: &Rc<Context>, [metrics, snapshots, tunnels]: [SocketAddr; 3]) {
+    spawn_supervised("metrics", cx, move |cx| {
+        listen(cx, metrics, "metrics", metrics::serve)
+    });
+    spawn_supervised("snapshots", cx, move |cx| {
+        listen(cx, snapshots, "snapshots", snapshot::serve)
+    });
+    spawn_supervised("tunnels", cx, move |cx| {
+        listen(cx, tunnels, "tunnels", tunnel_server::serve)
+    });
+}
+
+/// Spawns the tasks that read from the platform's store and write to it.
+fn spawn_store_tasks<S>(cx: &Rc<Context>, store: &Rc<S>)
+where
+    S: Store + 'static,
+{
+    let of_store = |name, task: fn(Rc<Context>, Rc<S>) -> LocalTask| {
+        let store = store.clone();
+        spawn_supervised(name, cx, move |cx| task(cx, store.clone()));
+    };
+    of_store("crash_writes", |cx, s| Box::pin(crash_writer::run(cx, s)));
+    of_store("rendezvous", |cx, s| Box::pin(rendezvous::run(cx, s)));
+    of_store("crash_probes", |cx, s| Box::pin(crash_probes::run(cx, s)));
+    of_store("origin_writes", |cx, s| {
+        Box::pin(stored_origins::write(cx, s))
+    });
+    of_store("origin_reads", |cx, s| {
+        Box::pin(stored_origins::read(cx, s))
+    });
+    of_store("configuration", |cx, s| {
+        Box::pin(store_watch::follow(cx, s, Topic::Configuration))
+    });
+    of_store("upstreams", |cx, s| {
+        Box::pin(store_watch::follow(cx, s, Topic::Upstreams))
+    });
+    of_store("crashes", |cx, s| {
+        Box::pin(store_watch::follow(cx, s, Topic::Crashes))
+    });
+    if cx.settings.rollout.is_some() {
+        of_store("rollout_orders", |cx, s| {
+            Box::pin(store_watch::follow(cx, s, Topic::Rollouts))
+        });
+        of_store("rollout_writes", |cx, s| {
+            Box::pin(rollout_writer::run(cx, s))
+        });
+        spawn_supervised("rollouts", cx, rollouts::run);
+    }
+}
+
 /// Serves on a port that callers do not need, as soon as it can be listened on.
 async fn listen<F, Fut>(cx: Rc<Context>, addr: SocketAddr, purpose: &'static str, serve: F)
 where
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -12,6 +12,7 @@
 use stoatjunction_core::entry::stream_origins::Place;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::socket_errors::SocketErrors;
+use stoatjunction_net::supervised::supervise;
 
 use crate::capacity_reports;
 use crate::clock;
@@ -50,7 +51,16 @@
     let socket = sockets::bind_when_possible(addr, "heartbeats").await?;
     let was_set = cx.gossip_socket.set(socket);
     was_set.map_err(|_| io::Error::from(io::ErrorKind::AlreadyExists))?;
-    tokio::task::spawn_local(receive(cx.clone()));
+    let receiver = cx.clone();
+    tokio::task::spawn_local(async move {
+        supervise("heartbeats_received", || receive(receiver.clone())).await;
+    });
+    supervise("heartbeats", || send_reports(cx.clone())).await;
+    Ok(())
+}
+
+/// Sends heartbeats for as long as the daemon runs.
+async fn send_reports(cx: Rc<Context>) {
     let mut last_full = clock::now();
     let mut crash_reporter = CrashReporter::default();
     let mut contacts = Contacts::default();
--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod settings;
 pub mod socket_errors;
 pub mod stop;
+pub mod supervised;
