Buffers for responses follow the memory of the host

It bounds the head of a response, which is at least as large as a request's may be.

Also, a caller on a kept connection gets the same time to send its request as on a new one.

--- a/stoatjunction_core/src/entry/socket_buffers.rs
+++ b/stoatjunction_core/src/entry/socket_buffers.rs
@@ -17,6 +17,22 @@
 /// The smallest send buffer in bytes.
 pub const MIN_SEND_BYTES: usize = 16 << 10;
 
+/// Part of the memory limit that the buffers take into which upstreams' responses are read, as a divisor. The HTTP library holds a
+/// few of them for a response that waits for its caller.
+const READ_DIVISOR: usize = 5;
+const READ_COPIES: usize = 5;
+/// The smallest of these buffers in bytes. It bounds the head of a response, which may be as large as that of a request.
+pub const MIN_READ_BYTES: usize = 16 << 10;
+/// The largest of these buffers in bytes.
+pub const MAX_READ_BYTES: usize = 64 << 10;
+
+/// Returns the size in bytes of the buffer into which the responses on a connection to an upstream are read.
+pub fn upstream_read_bytes(memory_limit_mb: Option<u64>) -> usize {
+    let all = limit_bytes(memory_limit_mb) / READ_DIVISOR;
+    let each = all / READ_COPIES / FULL_UPSTREAM_CONNECTIONS;
+    each.clamp(MIN_READ_BYTES, MAX_READ_BYTES)
+}
+
 /// Sizes in bytes to ask the kernel for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SocketBuffers {
--- a/stoatjunction_core/tests/entry_socket_buffers.rs
+++ b/stoatjunction_core/tests/entry_socket_buffers.rs
@@ -2,7 +2,8 @@
 
 use stoatjunction_core::entry::caller_limit::max_callers;
 use stoatjunction_core::entry::socket_buffers::{
-    MAX_BYTES, MIN_RECEIVE_BYTES, MIN_SEND_BYTES, SocketBuffers,
+    MAX_BYTES, MAX_READ_BYTES, MIN_READ_BYTES, MIN_RECEIVE_BYTES, MIN_SEND_BYTES, SocketBuffers,
+    upstream_read_bytes,
 };
 use yare::parameterized;
 
@@ -33,3 +34,14 @@
     let limit = limit_mb.map_or(usize::MAX, |mb| mb as usize * (1 << 20));
     assert!(all <= limit / 2, "{all} of {limit}");
 }
+
+#[parameterized(
+    unlimited = { None, MAX_READ_BYTES },
+    tiny = { Some(16), MIN_READ_BYTES },
+    small = { Some(88), MIN_READ_BYTES },
+    larger = { Some(160), 26_214 },
+    large = { Some(512), MAX_READ_BYTES },
+)]
+fn buffers_for_responses_follow_the_memory_of_the_process(limit_mb: Option<u64>, expected: usize) {
+    assert_eq!(upstream_read_bytes(limit_mb), expected);
+}
--- a/stoatjunction_entry/src/caller_connections.rs
+++ b/stoatjunction_entry/src/caller_connections.rs
@@ -188,6 +188,7 @@
     /// Counts a request as in progress.
     pub(crate) fn new(cx: &Rc<Context>, activity: &Rc<Activity>) -> ActiveRequest {
         activity.has_begun.set(true);
+        activity.last_used_at.set(clock::now());
         activity.in_progress.set(activity.in_progress.get() + 1);
         ActiveRequest {
             activity: activity.clone(),
--- a/stoatjunction_entry/src/connection_pool.rs
+++ b/stoatjunction_entry/src/connection_pool.rs
@@ -9,7 +9,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_core::time::{Span, Time};
 use stoatjunction_net::read_limit::{ReadCounter, limit_reads};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -17,15 +16,13 @@
 
 use crate::clock;
 use crate::sockets;
+use crate::state::Context;
 use crate::tunnel_stream::TunnelStream;
 use crate::upstream_io::{Unwritten, UpstreamIo};
 
 /// Connect timeout. Data centres are a few milliseconds apart, and an upstream that takes longer
 /// has a full accept queue or is gone.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Buffer for what is read from an upstream, in bytes, which bounds the head of a response. The HTTP library takes a few times as
-/// much while a response waits for its caller.
-const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Idle timeout when the upstream states none, and the longest one used.
 const DEFAULT_IDLE_TIMEOUT: Span = Span::from_millis(3_000);
 /// Margin before the upstream's own idle timeout after which a connection is no longer reused.
@@ -116,17 +113,18 @@
 }
 
 /// Opens a connection to the upstream at `addr`. When it fails, nothing of a request has been sent.
-pub(crate) async fn open(addr: &str, buffers: SocketBuffers) -> io::Result<Connection> {
+pub(crate) async fn open(cx: &Context, addr: &str) -> io::Result<Connection> {
+    let buffers = cx.upstream_buffers;
     let stream = sockets::connect_to_upstream(addr, CONNECT_TIMEOUT, buffers).await?;
-    handshake(stream, false).await
+    handshake(cx, stream, false).await
 }
 
 /// Opens a connection on a stream to an upstream through another host.
-pub(crate) async fn open_on(stream: TunnelStream) -> io::Result<Connection> {
-    handshake(stream, true).await
+pub(crate) async fn open_on(cx: &Context, stream: TunnelStream) -> io::Result<Connection> {
+    handshake(cx, stream, true).await
 }
 
-async fn handshake<T>(stream: T, is_tunnelled: bool) -> io::Result<Connection>
+async fn handshake<T>(cx: &Context, stream: T, is_tunnelled: bool) -> io::Result<Connection>
 where
     T: AsyncRead + AsyncWrite + Unpin + 'static,
 {
@@ -134,7 +132,7 @@
     let stream = UpstreamIo::new(stream, unwritten.clone());
     let stream = limit_reads(stream, counter.clone());
     let (sender, conn) = http1::Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
+        .max_buf_size(cx.upstream_read_bytes)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -25,7 +25,7 @@
 use stoatjunction_core::entry::route_table::RouteTable;
 use stoatjunction_core::entry::snapshot_fetches::SnapshotFetches;
 use stoatjunction_core::entry::snapshot_transfers::SnapshotTransfers;
-use stoatjunction_core::entry::socket_buffers::SocketBuffers;
+use stoatjunction_core::entry::socket_buffers::{SocketBuffers, upstream_read_bytes};
 use stoatjunction_core::entry::start_trace::StartTrace;
 use stoatjunction_core::entry::stream_origins::{BegunStream, StreamOrigins};
 use stoatjunction_core::entry::upstream_list::UpstreamList;
@@ -230,6 +230,8 @@
     pub(crate) caller_buffers: SocketBuffers,
     /// The same for a connection to an upstream.
     pub(crate) upstream_buffers: SocketBuffers,
+    /// Size of the buffer into which responses of upstreams are read.
+    pub(crate) upstream_read_bytes: usize,
 }
 
 impl Context {
@@ -313,6 +315,7 @@
             callers: CallerConnections::new(max_callers),
             caller_buffers: SocketBuffers::of_callers(memory_limit_mb),
             upstream_buffers: SocketBuffers::of_upstreams(memory_limit_mb),
+            upstream_read_bytes: upstream_read_bytes(memory_limit_mb),
         }
     }
 
--- a/stoatjunction_entry/src/upstream_connections.rs
+++ b/stoatjunction_entry/src/upstream_connections.rs
@@ -70,7 +70,7 @@
         return own;
     }
     match tunnels::open(cx, target).await {
-        Ok(stream) => connection_pool::open_on(stream).await,
+        Ok(stream) => connection_pool::open_on(cx, stream).await,
         // No other host could try: upstreams that are down may have passed for a cut.
         Err(e) if e.kind() == io::ErrorKind::HostUnreachable && was_cut_off => {
             let own = open_own(cx, target).await;
@@ -98,7 +98,7 @@
 }
 
 async fn open_own(cx: &Rc<Context>, target: &UpstreamTarget) -> io::Result<Connection> {
-    let opened = connection_pool::open(&target.addr, cx.upstream_buffers).await;
+    let opened = connection_pool::open(cx, &target.addr).await;
     if let Err(e) = &opened
         && !lacks_resources(e)
     {
@@ -147,7 +147,7 @@
     record_unreached(cx, service, target.number).await;
     has_answered() == Some(true)
         || (!is_cut_off(cx, service) && try_own(cx, service).await)
-        || is_unaccepted(&connection_pool::open(&target.addr, cx.upstream_buffers).await)
+        || is_unaccepted(&connection_pool::open(cx, &target.addr).await)
 }
 
 /// Returns whether an attempt at a connection shows that the upstream accepts none. One that is reset was accepted: the
@@ -281,7 +281,7 @@
 
 /// Asks an upstream on a connection that is opened for it.
 async fn ask_anew(cx: &Context, addr: &str) -> io::Result<()> {
-    let mut connection = connection_pool::open(addr, cx.upstream_buffers).await?;
+    let mut connection = connection_pool::open(cx, addr).await?;
     ask(cx, addr, &mut connection).await
 }
 
