--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -111,6 +111,15 @@
     Ok(admitted)
 }
 
+/// Returns what the log says of a key under which no route was found; never the key itself.
+pub(crate) fn key_state(key: Option<&HeaderValue>) -> &'static str {
+    match key.map(HeaderValue::to_str) {
+        None => " key=absent",
+        Some(Err(_)) => " key=unreadable",
+        Some(Ok(_)) => " key=unknown",
+    }
+}
+
 /// Returns the refusal of a request without a route or without access to it.
 pub(crate) fn refuse_route(error: RouteError) -> Refusal {
     match error {
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -30,6 +30,7 @@
 use crate::snapshot;
 use crate::sockets;
 use crate::state::{Context, Phase};
+use crate::status_line;
 use crate::store_watch::{self, Store, Topic};
 use crate::stored_origins;
 use crate::tunnel_server;
@@ -119,6 +120,7 @@
     spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
     spawn_listeners(&cx, [metrics, snapshots, tunnels]);
     spawn_supervised("tick", &cx, tick);
+    spawn_supervised("status_line", &cx, status_line::run);
     spawn_supervised("removals", &cx, store_watch::apply_removals);
     spawn_store_tasks(&cx, &store);
     stop::wait(&stop, Stop::Graceful).await;
--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::{
     AdmittedRequest, BARRED_RETRY_AFTER, HOP_BY_HOP_HEADERS, MAX_LATE_WAIT, admit_request,
+    key_state,
 };
 use crate::attempt::{
     self, AttemptError, AttemptOptions, BodyEnd, UpstreamResponse, UpstreamTarget,
@@ -51,6 +52,7 @@
 /// Handles a request and always returns a response; a refusal is logged.
 pub(crate) async fn handle(cx: Rc<Context>, req: Request<CallerBody>) -> Response<Body> {
     let id = req.headers().get(&cx.names.request_id).cloned();
+    let key = key_state(req.headers().get(&cx.names.key));
     let arrived = clock::now();
     let mut counted = CountedRequest::new(&cx.metrics);
     match respond(&cx, req, arrived, &mut counted.labels).await {
@@ -69,12 +71,16 @@
             let shown_id = id.as_ref().and_then(|i| i.to_str().ok());
             let (version, version_age) = configuration_in_force(&cx);
             log::info!(
-                "event=refused request={} code={} reason={} after_ms={} version={version} version_age_ms={}",
+                "event=refused request={} code={} reason={} after_ms={} version={version} version_age_ms={}{}",
                 shown_id.unwrap_or("-"),
                 refusal.code,
                 refusal.code.slug(),
                 clock::now().since(arrived).as_millis(),
-                version_age.as_millis()
+                version_age.as_millis(),
+                match refusal.code {
+                    Code::UnknownKey => key,
+                    _ => "",
+                }
             );
             refusal.response(&cx.names, id.as_ref())
         }
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -57,6 +57,7 @@
 mod start_trace;
 pub mod state;
 mod statements;
+mod status_line;
 mod stopping;
 pub mod store_watch;
 mod stored_origins;
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the daemon, in the text form that monitoring tools read.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::io;
 use std::rc::Rc;
@@ -53,10 +53,41 @@
     }
 }
 
+/// Numbers of requests that have ended, by what their callers got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct EndedRequests {
+    /// Whole responses of upstreams.
+    pub(crate) answered: u64,
+    /// Refusals of this host.
+    pub(crate) refused: u64,
+    /// Responses that broke off, and requests that their callers gave up.
+    pub(crate) other: u64,
+}
+
+impl EndedRequests {
+    /// Returns what has ended since `before`.
+    pub(crate) fn since(self, before: EndedRequests) -> EndedRequests {
+        EndedRequests {
+            answered: self.answered - before.answered,
+            refused: self.refused - before.refused,
+            other: self.other - before.other,
+        }
+    }
+
+    fn add(&mut self, outcome: &str) {
+        match outcome {
+            "answered" => self.answered += 1,
+            "refused" => self.refused += 1,
+            _ => self.other += 1,
+        }
+    }
+}
+
 /// Counters and durations since the start of the daemon.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
     metrics: Metrics,
+    ended: Cell<EndedRequests>,
     organisations: RefCell<IndexSet<String>>,
 }
 
@@ -67,10 +98,16 @@
     pub(crate) fn start() -> io::Result<EntryMetrics> {
         Ok(EntryMetrics {
             metrics: Metrics::start("entry", None)?,
+            ended: Cell::default(),
             organisations: RefCell::default(),
         })
     }
 
+    /// Returns the numbers of requests that have ended since the start.
+    pub(crate) fn ended(&self) -> EndedRequests {
+        self.ended.get()
+    }
+
     /// Adds one to a counter.
     pub(crate) fn count(&self, name: &str, tags: &[(&str, &str)]) {
         self.metrics.count(name, 1, tags);
@@ -79,6 +116,9 @@
     /// Counts a request that has ended: `outcome` is what its caller got, `code` the status or the
     /// number of the refusal.
     pub(crate) fn count_request(&self, labels: &RequestLabels, outcome: &str, code: &str) {
+        let mut ended = self.ended.get();
+        ended.add(outcome);
+        self.ended.set(ended);
         let organisation = self.organisation_label(&labels.organisation);
         let tags = [
             ("outcome", outcome),
