Names of objects are escaped in paths and queries of calls to the store

Callers saw nothing: hosts did not become ready, or took no change any more. Names of objects were put into paths and queries as they are. A list whose page ends at a name of another writer with a space, %, &, + or a quotation mark had no next page: the client refused the URI, or the store answered 400 or the same page again. So one name kept every host from starting, and from listing anew once history was gone; the same for configurations, crashes and orders.

Every name is escaped where a path or a query is made (uri_text.rs). No test could see it, since the stand-in store neither decoded nor refused anything. It does both now: segments and values are decoded, what is malformed, unknown or out of its range gets 400, and a PUT that changes nothing makes no revision.

--- a/stoatjunction_net/src/lib.rs
+++ b/stoatjunction_net/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod socket_errors;
 pub mod stop;
 pub mod supervised;
+pub mod uri_text;
--- a/stoatjunction_standin/src/lib.rs
+++ b/stoatjunction_standin/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod response_fault;
 pub mod scripted_upstream;
 pub mod stream_shape;
+mod uri_text;
--- a/stoatjunction_standin/src/metadata_store.rs
+++ b/stoatjunction_standin/src/metadata_store.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
+use crate::uri_text::{Malformed, decode_query, decode_segment};
+
 /// Maximum wait of a watch in milliseconds.
 const MAX_WAIT_MS: u64 = 30_000;
 /// Maximum number of objects on one page of a list, unless another one is set.
@@ -377,27 +379,33 @@
             ResponseMode::Unavailable => return status(StatusCode::SERVICE_UNAVAILABLE),
             ResponseMode::Hang => std::future::pending().await,
         }
-        let path = req.uri().path().to_owned();
-        let Some(kind) = path.strip_prefix("/stoatjunction/objects/") else {
-            return status(StatusCode::NOT_FOUND);
+        let path = Path::parse(req.uri().path());
+        let query = Query::parse(req.uri().query().unwrap_or_default());
+        let (path, query) = match (path, query) {
+            (Ok(Some(path)), Ok(query)) => (path, query),
+            (Ok(None), _) => return status(StatusCode::NOT_FOUND),
+            _ => return status(StatusCode::BAD_REQUEST),
         };
-        match *req.method() {
-            Method::GET => {}
-            Method::PUT => return self.replace(kind, req).await,
-            Method::POST => return self.create(kind, req).await,
-            Method::DELETE => return self.delete(kind),
-            _ => return status(StatusCode::METHOD_NOT_ALLOWED),
-        }
-        if let Some((kind, name)) = kind.split_once('/') {
-            let object = self.object(kind, name);
-            return object.map_or_else(|| status(StatusCode::NOT_FOUND), |o| ok(&o));
+        match (req.method(), path.name.as_deref()) {
+            (&Method::GET, None) => self.read_list(&path.kind, query).await,
+            (&Method::GET, Some(name)) => {
+                let object = self.object(&path.kind, name);
+                object.map_or_else(|| status(StatusCode::NOT_FOUND), |o| ok(&o))
+            }
+            (&Method::PUT, Some(_)) => self.replace(&path, req).await,
+            (&Method::POST, None) => self.create(&path.kind, req).await,
+            (&Method::DELETE, Some(name)) => self.delete(&path.kind, name),
+            _ => status(StatusCode::METHOD_NOT_ALLOWED),
         }
-        let query = req.uri().query().unwrap_or_default().to_owned();
+    }
+
+    /// Responds to a list or a watch.
+    async fn read_list(&self, kind: &str, query: Query) -> Response<Body> {
         let at = Instant::now();
-        let may_be_stale = query_value(&query, "allow-stale") == Some("1");
-        let res = match number(&query, "watch") {
-            Some(since) => self.watch(kind, since, number(&query, "wait-ms")).await,
-            None => self.list(kind, query_value(&query, "after-revision"), may_be_stale),
+        let may_be_stale = query.may_be_stale;
+        let res = match query.watch {
+            Some(since) => self.watch(kind, since, query.wait_ms).await,
+            None => self.list(kind, query.after.as_deref(), may_be_stale),
         };
         self.lock().reads.push(Read {
             kind: kind.to_owned(),
@@ -428,21 +436,15 @@
 
     /// Handles the replacement of an object or of its status, on condition that its revision is the one
     /// in the body.
-    async fn replace(&self, path: &str, req: Request<Incoming>) -> Response<Body> {
-        let (path, part) = match path.strip_suffix("/status") {
-            Some(path) => (path, Part::Status),
-            None => (path, Part::Specification),
-        };
-        let Some((kind, name)) = path.split_once('/') else {
-            return status(StatusCode::NOT_FOUND);
-        };
+    async fn replace(&self, path: &Path, req: Request<Incoming>) -> Response<Body> {
+        let name = path.name.as_deref().unwrap_or_default();
         let Ok(body) = req.into_body().collect().await else {
             return status(StatusCode::BAD_REQUEST);
         };
         let Ok(body) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
             return status(StatusCode::BAD_REQUEST);
         };
-        let res = self.replace_part(kind, name, part, &body);
+        let res = self.replace_part(&path.kind, name, path.part, &body);
         if res.status() == StatusCode::OK {
             self.changed.notify_waiters();
         }
@@ -461,6 +463,7 @@
             *res.status_mut() = StatusCode::CONFLICT;
             return res;
         }
+        let before = object.clone();
         match part {
             Part::Specification => object["specification"] = body["specification"].clone(),
             Part::Status => {
@@ -473,7 +476,9 @@
                 });
             }
         }
-        state.data.insert(kind, name, object);
+        if object != before {
+            state.data.insert(kind, name, object);
+        }
         ok(&state.data.objects[&key])
     }
 
@@ -491,11 +496,10 @@
         res
     }
 
-    fn delete(&self, kind_and_name: &str) -> Response<Body> {
-        let object = kind_and_name.split_once('/');
-        let Some((kind, name)) = object.filter(|(k, n)| self.object(k, n).is_some()) else {
+    fn delete(&self, kind: &str, name: &str) -> Response<Body> {
+        if self.object(kind, name).is_none() {
             return status(StatusCode::NOT_FOUND);
-        };
+        }
         self.remove(kind, name);
         ok(&json!({}))
     }
@@ -597,13 +601,67 @@
     }
 }
 
-fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    pairs.filter(|(k, _)| *k == name).map(|(_, v)| v).next()
+/// What a path names.
+struct Path {
+    kind: String,
+    /// Name of one object; all of the kind without it.
+    name: Option<String>,
+    part: Part,
 }
 
-fn number(query: &str, name: &str) -> Option<u64> {
-    query_value(query, name)?.parse().ok()
+impl Path {
+    /// Reads a path; `None` if it names nothing.
+    fn parse(path: &str) -> Result<Option<Path>, Malformed> {
+        let Some(path) = path.strip_prefix("/stoatjunction/objects/") else {
+            return Ok(None);
+        };
+        let mut segments = path.split('/').map(decode_segment);
+        let kind = segments.next().unwrap_or(Err(Malformed))?;
+        let name = segments.next().transpose()?;
+        let part = match segments.next().transpose()?.as_deref() {
+            None => Part::Specification,
+            Some("status") => Part::Status,
+            Some(_) => return Ok(None),
+        };
+        let is_whole = segments.next().is_none() && !kind.is_empty() && name.as_deref() != Some("");
+        Ok(is_whole.then_some(Path { kind, name, part }))
+    }
+}
+
+/// Parameters of a list or a watch.
+#[derive(Default)]
+struct Query {
+    after: Option<String>,
+    may_be_stale: bool,
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+}
+
+impl Query {
+    fn parse(query: &str) -> Result<Query, Malformed> {
+        let mut parsed = Query::default();
+        let names = [
+            "after-revision",
+            "allow-stale",
+            "watch",
+            "wait-ms",
+            "revision",
+        ];
+        for (name, value) in decode_query(query, &names)? {
+            let number = || value.parse::<u64>().map_err(|_| Malformed);
+            match name.as_str() {
+                "after-revision" => parsed.after = Some(value),
+                "allow-stale" => parsed.may_be_stale = value == "1",
+                "watch" => parsed.watch = Some(number()?),
+                "wait-ms" => parsed.wait_ms = Some(number()?),
+                _ => {}
+            }
+        }
+        match parsed.wait_ms {
+            Some(ms) if ms > MAX_WAIT_MS => Err(Malformed),
+            _ => Ok(parsed),
+        }
+    }
 }
 
 fn ok(value: &Value) -> Response<Body> {
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -503,6 +503,12 @@
                 self.report(stream).await?;
                 continue;
             }
+            if !self.is_meant(&req) {
+                req.ran = false;
+                self.lock().received.push(req.clone());
+                self.perform(stream, &req, Reply::NotRun(421)).await?;
+                continue;
+            }
             let poison = self.lock().poison.clone();
             if let Some(poison) = poison.filter(|p| req.holds(&p.marker)) {
                 return self.crash(stream, req, poison.mode).await;
@@ -539,6 +545,12 @@
         }
     }
 
+    /// Returns whether the request is meant for this upstream: it names this one or none.
+    fn is_meant(&self, req: &ReceivedRequest) -> bool {
+        let expected = req.header("expected-instance");
+        expected.is_none_or(|id| id == self.id)
+    }
+
     /// Replies to a request for the report.
     async fn report(&self, stream: &mut TcpStream) -> io::Result<()> {
         let (mode, born) = {
