Keys beyond ASCII are read as their callers write them

Callers with a key beyond ASCII got 401 on every host, for good: a header was read as text only if it was ASCII, and a key that could not be read counted as an empty one, which even matched an empty key of the configuration.

Values of headers are read as UTF-8, or else as ISO 8859-1. The name of the host in a request is read in the same way.

--- a/stoatjunction_core/src/entry/route_table.rs
+++ b/stoatjunction_core/src/entry/route_table.rs
@@ -34,8 +34,11 @@
         }
         let mut by_key = IndexMap::new();
         for (index, organisation) in cfg.organisations.iter().enumerate() {
-            for key in &organisation.keys {
-                by_key.insert(key.clone(), index);
+            // White space at its ends does not reach a header, and no header is no key.
+            let keys = organisation.keys.iter();
+            let keys = keys.map(|k| k.trim_matches([' ', '\t']));
+            for key in keys.filter(|k| !k.is_empty()) {
+                by_key.insert(key.to_owned(), index);
             }
         }
         RouteTable {
--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission of requests: route, organisation, body, rate limit and requirements for placement.
 
+use std::borrow::Cow;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -23,6 +24,7 @@
 use crate::crash_probes;
 use crate::event_filter::EventFilter;
 use crate::header_names::HeaderNames;
+use crate::header_text;
 use crate::held_body;
 use crate::metrics::{self, RequestLabels};
 use crate::refusal::Refusal;
@@ -87,11 +89,11 @@
         .uri
         .authority()
         .map(|a| a.as_str())
-        .or_else(|| head.headers.get(HOST).and_then(|h| h.to_str().ok()))
+        .map(Cow::Borrowed)
+        .or_else(|| head.headers.get(HOST).map(header_text::decode))
         .unwrap_or_default();
-    let key = head.headers.get(&cx.names.key);
-    let key = key.map(|k| k.to_str().unwrap_or_default());
-    let resolved = routes.resolve(host, head.uri.path(), key);
+    let key = head.headers.get(&cx.names.key).map(header_text::decode);
+    let resolved = routes.resolve(&host, head.uri.path(), key.as_deref());
     let (route, organisation) = resolved.map_err(refuse_route)?;
     let max_bytes = routes.cfg().limits.body_bytes;
     let latest = clock::instant(arrived + route.timeout);
@@ -113,10 +115,10 @@
 
 /// Returns what the log says of a key under which no route was found; never the key itself.
 pub(crate) fn key_state(key: Option<&HeaderValue>) -> &'static str {
-    match key.map(HeaderValue::to_str) {
+    match key {
         None => " key=absent",
-        Some(Err(_)) => " key=unreadable",
-        Some(Ok(_)) => " key=unknown",
+        Some(key) if key.is_empty() => " key=empty",
+        Some(_) => " key=unknown",
     }
 }
 
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod forward;
 mod gossip;
 pub mod header_names;
+pub mod header_text;
 mod heartbeat;
 mod held_body;
 mod host_message;
