Upstreams and organisations that a header cannot name get no requests

An upstream whose id holds a line end, a control character or white space at its ends could not be named in Expected-Instance, so that requests were sent without it, and whoever had its address ran them; or it answered 421 for good. A request of an organisation with such a name reached upstreams without Tenant. Both names come from other writers of the store.

Such an entry names no upstream now, and such an organisation is refused with 503; both are logged.

--- a/stoatjunction_entry/src/admission.rs
+++ b/stoatjunction_entry/src/admission.rs
@@ -187,7 +187,8 @@
     let request = UpstreamRequest {
         method: head.method.clone(),
         uri: path.parse().map_err(|_| Refusal::new(Code::BadHeader))?,
-        headers: forwarded_headers(cx, &head.headers, organisation.as_ref()),
+        headers: forwarded_headers(cx, &head.headers, organisation.as_ref())
+            .ok_or_else(refuse_without_service)?,
         body,
         id: head.headers.get(&names.request_id).cloned(),
         causes,
@@ -385,12 +386,13 @@
     parts
 }
 
-/// Returns the headers to forward to an upstream.
+/// Returns the headers to forward to an upstream; `None` if they cannot hold the name of the organisation, without which
+/// the upstream takes the request for another one's.
 fn forwarded_headers(
     cx: &Rc<Context>,
     headers: &HeaderMap,
     organisation: Option<&Organisation>,
-) -> HeaderMap {
+) -> Option<HeaderMap> {
     let names = &cx.names;
     let mut out = headers.clone();
     let named_by_connection: Vec<HeaderName> = headers
@@ -416,10 +418,9 @@
     {
         out.remove(name);
     }
-    if let Some(o) = organisation
-        && let Ok(name) = HeaderValue::from_str(&o.name)
-    {
+    if let Some(o) = organisation {
+        let name = HeaderValue::from_bytes(o.name.as_bytes()).ok()?;
         out.insert(names.organisation.clone(), name);
     }
-    out
+    Some(out)
 }
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::connection_pool::Connection;
 use crate::crash::{self, Break, UsedConnection};
 use crate::header_names::HeaderNames;
+use crate::header_text;
 use crate::placement::Placement;
 use crate::start_reports;
 use crate::state::Context;
@@ -347,7 +348,7 @@
     *req.headers_mut() = request.headers.clone();
     let headers = req.headers_mut();
     headers.insert(names.deadline.clone(), HeaderValue::from(left.as_millis()));
-    if let Ok(id) = HeaderValue::from_str(&target.id) {
+    if let Some(id) = header_text::encode(&target.id) {
         headers.insert(names.expected_upstream.clone(), id);
     }
     if !headers.contains_key(HOST)
