Names of others stand in one line of the log and of the metrics

A name with a line end made log lines of its own, which could forge any event, and a service with a quotation mark made the metrics unreadable for the tools that read them.

Control characters are escaped where a line is formatted, and values of labels as their text form says.

--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -261,10 +261,17 @@
         return String::new();
     }
     let pairs = tags.split(',').filter_map(|t| t.split_once(':'));
-    let pairs: Vec<String> = pairs.map(|(k, v)| format!("{k}=\"{v}\"")).collect();
+    let pairs = pairs.map(|(k, v)| format!("{k}=\"{}\"", label_value(v)));
+    let pairs: Vec<String> = pairs.collect();
     format!("{{{}}}", pairs.join(","))
 }
 
+/// Returns a text as the value of a label.
+pub(crate) fn label_value(text: &str) -> String {
+    let text = text.replace('\\', "\\\\");
+    text.replace('"', "\\\"").replace('\n', "\\n")
+}
+
 /// Returns the present state of the daemon.
 fn gauges(cx: &Context) -> Vec<(String, String)> {
     let now = clock::now();
@@ -304,6 +311,7 @@
         }
     }
     for (service, scheduler) in &state.schedulers {
+        let service = &label_value(service);
         let pool = &scheduler.pool;
         let waiting: u32 = pool.waiting().iter().map(|(_, n)| u32::from(*n)).sum();
         all.push((
--- a/stoatjunction_entry/src/rollouts.rs
+++ b/stoatjunction_entry/src/rollouts.rs
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::followers;
+use crate::metrics::label_value;
 use crate::state::{Context, SharedState};
 use crate::store_watch::{Change, Changes};
 
@@ -556,6 +557,7 @@
         let phase = phase_label(s.rollout.phase(now));
         let (target, other) = s.rollout.totals();
         let sides = [("target", target), ("other", other)];
+        let service = label_value(service);
         let mut all = vec![(
             format!("rollout_phase{{service=\"{service}\",phase=\"{phase}\"}}"),
             "1".to_owned(),
--- a/stoatjunction_net/src/logging.rs
+++ b/stoatjunction_net/src/logging.rs
@@ -80,6 +80,7 @@
         .format(move |out, message, record| {
             let at = wall_ms();
             let level = record.level().as_str().to_ascii_lowercase();
+            let message = one_line(message.to_string());
             match RATE_LIMITER.take_suppressed() {
                 0 => out.finish(format_args!(
                     "at={at} level={level} process={process} host={host} {message}"
@@ -104,6 +105,18 @@
     }
 }
 
+/// Returns a message as one line: names of other writers, of which it may hold some, may hold line ends.
+fn one_line(message: String) -> String {
+    if !message.contains(char::is_control) {
+        return message;
+    }
+    let escaped = message.chars().map(|c| match c.is_control() {
+        true => c.escape_default().to_string(),
+        false => c.to_string(),
+    });
+    escaped.collect()
+}
+
 /// Writes text to standard error like a log line, also before logging is started.
 pub fn report(text: &str) {
     queue().push(format!("{}\n", text.trim_end()).as_bytes());
