Connections that wait to be accepted follow the memory of the host

A host could exceed its memory, and be ended for it, by what callers sent before it accepted their connections: up to 1,024 waited, each with up to 128 KB. That needs no fault of the host: 1,700 callers that send ahead fill the queue as fast as it is emptied. The tests counted the connections of the process only, which those that wait are not yet.

As many wait as an eighth of the memory can hold (88 at 88 MB, 260 at 260 MB, from 64 to 1,024). The other ports let 256 wait.

--- a/stoatjunction_core/src/entry/socket_buffers.rs
+++ b/stoatjunction_core/src/entry/socket_buffers.rs
@@ -17,6 +17,16 @@
 /// The smallest send buffer in bytes.
 pub const MIN_SEND_BYTES: usize = 16 << 10;
 
+/// Part of the memory limit that connections may take which wait to be accepted, as a divisor. They wait while the process stands
+/// still, and what callers send meanwhile counts as memory of the process.
+const WAITING_DIVISOR: usize = 8;
+/// The fewest connections that may wait to be accepted: callers come back together after a fault.
+pub const MIN_WAITING: usize = 64;
+/// The most of them.
+pub const MAX_WAITING: usize = 1_024;
+/// What the kernel takes for a buffer, as a multiple of what it is asked for.
+const KERNEL_FACTOR: usize = 2;
+
 /// Part of the memory limit that the buffers take into which upstreams' responses are read, as a divisor. The HTTP library holds a
 /// few of them for a response that waits for its caller.
 const READ_DIVISOR: usize = 5;
@@ -64,6 +74,14 @@
     }
 }
 
+/// Returns how many connections of callers may wait to be accepted by a process whose memory is limited, if the settings name a
+/// limit.
+pub fn max_waiting(memory_limit_mb: Option<u64>) -> usize {
+    let each = SocketBuffers::of_callers(memory_limit_mb).receive * KERNEL_FACTOR;
+    let all = limit_bytes(memory_limit_mb) / WAITING_DIVISOR;
+    (all / each).clamp(MIN_WAITING, MAX_WAITING)
+}
+
 fn limit_bytes(memory_limit_mb: Option<u64>) -> usize {
     memory_limit_mb.map_or(usize::MAX, |mb| (mb as usize).saturating_mul(1 << 20))
 }
--- a/stoatjunction_core/tests/entry_socket_buffers.rs
+++ b/stoatjunction_core/tests/entry_socket_buffers.rs
@@ -2,8 +2,8 @@
 
 use stoatjunction_core::entry::caller_limit::max_callers;
 use stoatjunction_core::entry::socket_buffers::{
-    MAX_BYTES, MAX_READ_BYTES, MIN_READ_BYTES, MIN_RECEIVE_BYTES, MIN_SEND_BYTES, SocketBuffers,
-    upstream_read_bytes,
+    MAX_BYTES, MAX_READ_BYTES, MAX_WAITING, MIN_READ_BYTES, MIN_RECEIVE_BYTES, MIN_SEND_BYTES,
+    MIN_WAITING, SocketBuffers, max_waiting, upstream_read_bytes,
 };
 use yare::parameterized;
 
@@ -35,6 +35,18 @@
     assert!(all <= limit / 2, "{all} of {limit}");
 }
 
+/// Guards against callers that fill a host before it accepts their connections.
+#[parameterized(
+    unlimited = { None, MAX_WAITING },
+    tiny = { Some(16), MIN_WAITING },
+    small = { Some(88), 88 },
+    large = { Some(512), 512 },
+    out_of_range = { Some(u64::MAX), MAX_WAITING },
+)]
+fn connections_that_wait_follow_the_memory_of_the_process(limit_mb: Option<u64>, expected: usize) {
+    assert_eq!(max_waiting(limit_mb), expected);
+}
+
 #[parameterized(
     unlimited = { None, MAX_READ_BYTES },
     tiny = { Some(16), MIN_READ_BYTES },
--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -95,7 +95,7 @@
     let cx = Rc::new(Context::new(settings, names, metrics, file_shares));
     let settings = &cx.settings;
     let bound = tokio::select! {
-        bound = ingress::bind(settings.callers, settings.ready, cx.caller_buffers) => bound,
+        bound = ingress::bind(settings.callers, settings.ready, settings.memory_limit_mb) => bound,
         () = stop::wait(&stop, Stop::Graceful) => return Ok(ShutdownOutcome::Drained),
     };
     let (callers, ready) = bound
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -14,7 +14,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use stoatjunction_core::entry::socket_buffers::SocketBuffers;
 use stoatjunction_core::time::Span;
 use stoatjunction_net::occurrences::Occurrences;
 use stoatjunction_net::read_limit::{CountedBody, limit_reads};
@@ -294,9 +293,9 @@
 pub(crate) async fn bind(
     callers: SocketAddr,
     ready: SocketAddr,
-    buffers: SocketBuffers,
+    memory_limit_mb: Option<u64>,
 ) -> io::Result<(TcpListener, TcpListener)> {
     let ready = sockets::listen_when_possible(ready, "readiness").await?;
-    let callers = sockets::listen_for_callers(callers, buffers).await?;
+    let callers = sockets::listen_for_callers(callers, memory_limit_mb).await?;
     Ok((callers, ready))
 }
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -8,7 +8,7 @@
 
 use nix::libc;
 use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, TcpKeepalive, Type};
-use stoatjunction_core::entry::socket_buffers::SocketBuffers;
+use stoatjunction_core::entry::socket_buffers::{SocketBuffers, max_waiting};
 use stoatjunction_net::listening::open_when_possible;
 use stoatjunction_net::outgoing;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -26,8 +26,9 @@
 const TCP_FLAGS_OFFSET: u32 = 13;
 const TCP_SYN: u32 = 0x02;
 const TCP_SYN_ACK: u32 = 0x12;
-/// Number of connections that may wait to be accepted; a full queue delays callers by seconds.
-const ACCEPT_BACKLOG: i32 = 1_024;
+/// Connections of the balancer, other hosts and readers of metrics that may wait to be accepted on a port; a full queue delays them
+/// by seconds.
+const ACCEPT_BACKLOG: usize = 256;
 /// Largest list of headers between hosts in bytes. The HTTP/2 library keeps 16 MB by itself.
 pub(crate) const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
 
@@ -107,16 +108,24 @@
     addr: SocketAddr,
     purpose: &str,
 ) -> io::Result<TcpListener> {
-    open_when_possible(addr, purpose, || ready(listen(addr, None))).await
+    let queue = AcceptQueue {
+        connections: ACCEPT_BACKLOG,
+        receive: None,
+    };
+    open_when_possible(addr, purpose, || ready(listen(addr, queue))).await
 }
 
 /// Listens for callers on `addr` as soon as that is possible. What they send before their connections are accepted is limited
 /// as well.
 pub(crate) async fn listen_for_callers(
     addr: SocketAddr,
-    buffers: SocketBuffers,
+    memory_limit_mb: Option<u64>,
 ) -> io::Result<TcpListener> {
-    open_when_possible(addr, "callers", || ready(listen(addr, Some(buffers)))).await
+    let queue = AcceptQueue {
+        connections: max_waiting(memory_limit_mb),
+        receive: Some(SocketBuffers::of_callers(memory_limit_mb).receive),
+    };
+    open_when_possible(addr, "callers", || ready(listen(addr, queue))).await
 }
 
 /// Binds a socket for datagrams to `addr` as soon as that is possible.
@@ -129,15 +138,23 @@
     open_when_possible(addr, purpose, || ready(bind())).await
 }
 
-/// Listens on `addr`, with these buffers of connections that are not accepted yet.
-fn listen(addr: SocketAddr, buffers: Option<SocketBuffers>) -> io::Result<TcpListener> {
+/// Connections that are not accepted yet.
+#[derive(Clone, Copy)]
+struct AcceptQueue {
+    /// How many there may be.
+    connections: usize,
+    /// Bytes to ask the kernel for as the receive buffer of each.
+    receive: Option<usize>,
+}
+
+fn listen(addr: SocketAddr, queue: AcceptQueue) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    if let Some(buffers) = buffers {
-        socket.set_recv_buffer_size(buffers.receive)?;
+    if let Some(receive) = queue.receive {
+        socket.set_recv_buffer_size(receive)?;
     }
     socket.bind(&addr.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
+    socket.listen(queue.connections as i32)?;
     TcpListener::from_std(socket.into())
 }
