Messages of another fleet are not heard

A fleet took over the configuration of another one and then answered 404 to everything, on every host and also after all had been started again. Any datagram was heard: a host whose seed, or a name in the store, was stale and whose address belonged to a host of another fleet (another deployment, or another run on the same machines) exchanged state with it, and the higher version and the higher revisions won, whatever the own store said. Nothing that came later from the store had a higher version.

The hosts of one store are a fleet. Hosts that have not reached the store, and builds that know no number, are heard as before.

--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::clock;
 use crate::crash_probes;
 use crate::crash_writer;
+use crate::fleet_identity;
 use crate::gossip;
 use crate::header_names::HeaderNames;
 use crate::ingress;
@@ -162,6 +163,9 @@
         spawn_supervised(name, cx, move |cx| task(cx, store.clone()));
     };
     of_store("crash_writes", |cx, s| Box::pin(crash_writer::run(cx, s)));
+    of_store("fleet_identity", |cx, s| {
+        Box::pin(fleet_identity::run(cx, s))
+    });
     of_store("rendezvous", |cx, s| Box::pin(rendezvous::run(cx, s)));
     of_store("crash_probes", |cx, s| Box::pin(crash_probes::run(cx, s)));
     of_store("origin_writes", |cx, s| {
--- a/stoatjunction_entry/src/gossip.rs
+++ b/stoatjunction_entry/src/gossip.rs
@@ -17,6 +17,7 @@
 use crate::capacity_reports;
 use crate::clock;
 use crate::crash_reports::{self, CrashReporter};
+use crate::fleet_identity;
 use crate::heartbeat;
 use crate::host_message::{HostMessage, MAX_DATAGRAM_BYTES};
 use crate::host_protocols;
@@ -51,6 +52,7 @@
     let socket = sockets::bind_when_possible(addr, "heartbeats").await?;
     let was_set = cx.gossip_socket.set(socket);
     was_set.map_err(|_| io::Error::from(io::ErrorKind::AlreadyExists))?;
+    cx.fleet.decided().await;
     let receiver = cx.clone();
     tokio::task::spawn_local(async move {
         supervise("heartbeats_received", || receive(receiver.clone())).await;
@@ -167,7 +169,7 @@
 }
 
 fn send(cx: &Context, message: &HostMessage, receivers: &[IpAddr]) {
-    let extension = Extension::new(cx.settings.protocol());
+    let extension = Extension::new(cx.settings.protocol()).of_fleet(cx.fleet.id());
     send_extended(cx, message, &extension, receivers);
 }
 
@@ -254,12 +256,7 @@
     let gone = peers.filter(|(_, p)| now.since(p.last_heard()) > PEER_EXPIRY);
     let gone: Vec<IpAddr> = gone.map(|(ip, _)| *ip).collect();
     for ip in gone {
-        if let Some(peer) = state.peers.swap_remove(&ip) {
-            log::info!("event=host_removed host={ip}");
-            for limiter in state.rate_limiters() {
-                limiter.remove_reporter(peer.boot);
-            }
-        }
+        state.remove_peer(ip);
     }
 }
 
@@ -353,6 +350,9 @@
         Ok(decoded) => decoded,
         Err(e) => return host_protocols::record_unreadable(cx, sender, bytes, &e),
     };
+    if !cx.fleet.is_own(extension.fleet()) {
+        return fleet_identity::record_foreign(cx, sender);
+    }
     match message {
         HostMessage::Own(report) => {
             let dc = report.dc.clone();
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod event_filter;
 mod explain_placement;
 mod explain_query;
+mod fleet_identity;
 mod followers;
 mod forward;
 mod gossip;
--- a/stoatjunction_entry/src/protocol.rs
+++ b/stoatjunction_entry/src/protocol.rs
@@ -70,6 +70,9 @@
     /// In the summary of a data centre, upstreams that were down lately; missing: none.
     #[n(4)]
     down: Option<Vec<DownUpstream>>,
+    /// Number of the sender's fleet; missing: not known.
+    #[n(5)]
+    fleet: Option<u64>,
 }
 
 /// An upstream that was down.
@@ -103,6 +106,7 @@
             newest_read: (own.newest_read != own.spoken).then_some(own.newest_read),
             other_members: None,
             down: None,
+            fleet: None,
         }
     }
 
@@ -124,6 +128,16 @@
         }
     }
 
+    /// Adds the number of the sender's fleet.
+    pub(crate) fn of_fleet(self, fleet: Option<u64>) -> Extension {
+        Extension { fleet, ..self }
+    }
+
+    /// Returns this number.
+    pub(crate) fn fleet(&self) -> Option<u64> {
+        self.fleet
+    }
+
     /// Adds the upstreams that were down lately, by number, with the milliseconds since then.
     pub(crate) fn set_down(&mut self, down: &[(u64, u64)]) {
         let down: Vec<DownUpstream> = down
--- a/stoatjunction_entry/src/relay.rs
+++ b/stoatjunction_entry/src/relay.rs
@@ -152,7 +152,7 @@
         waiting: sum_waiting(waiting),
         capacity: capacity_reports::build_relayed(state, now),
     };
-    let mut extension = Extension::of_summary(own, &protocols);
+    let mut extension = Extension::of_summary(own, &protocols).of_fleet(cx.fleet.id());
     extension.set_down(&heartbeat::lately_down(state, now));
     (summary, extension)
 }
--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::clock;
+use crate::fleet_identity;
 use crate::protocol::Extension;
 use crate::rollout_reports::{self, RolloutReport};
 use crate::rollouts;
@@ -104,10 +105,11 @@
         Ok(bytes)
     }
 
-    /// Decodes a snapshot. What follows it is of a later build and not needed here.
-    fn decode(bytes: &[u8]) -> Result<Snapshot, DecodeError> {
-        let (snapshot, _) = bincode::serde::decode_from_slice(bytes, CONFIG)?;
-        Ok(snapshot)
+    /// Decodes a snapshot and what follows it.
+    fn decode(bytes: &[u8]) -> Result<(Snapshot, Extension), DecodeError> {
+        let (snapshot, len) = bincode::serde::decode_from_slice(bytes, CONFIG)?;
+        let extension = bytes.get(len..).and_then(Extension::read);
+        Ok((snapshot, extension.unwrap_or_default()))
     }
 }
 
@@ -175,7 +177,8 @@
         }
         Snapshot::since(known, &state)
     };
-    let bytes = snapshot.encode(&Extension::new(cx.settings.protocol()))?;
+    let extension = Extension::new(cx.settings.protocol()).of_fleet(cx.fleet.id());
+    let bytes = snapshot.encode(&extension)?;
     let transfer = Transfer::try_begin(cx, bytes.len());
     Ok(transfer.map(|transfer| (bytes, transfer)))
 }
@@ -230,7 +233,12 @@
 async fn fetch_since(cx: &Context, peer: IpAddr, known: Known) -> io::Result<ListState> {
     let addr = SocketAddr::new(peer, cx.settings.snapshot_port).to_string();
     let exchange = tokio::time::timeout(TRANSFER_TIMEOUT, request(&addr, known)).await;
-    let snapshot = exchange.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let (snapshot, extension) =
+        exchange.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    if !cx.fleet.is_own(extension.fleet()) {
+        fleet_identity::record_foreign(cx, peer);
+        return Err(io::Error::other("the host is of another fleet"));
+    }
     if let Some(cfg) = snapshot.cfg {
         cx.apply_configuration(cfg, ConfigurationSource::Host(peer));
     }
@@ -260,7 +268,7 @@
     })
 }
 
-async fn request(addr: &str, known: Known) -> io::Result<Snapshot> {
+async fn request(addr: &str, known: Known) -> io::Result<(Snapshot, Extension)> {
     let stream = sockets::connect(addr, TRANSFER_TIMEOUT).await?;
     let handshake = h2::client::Builder::new()
         .initial_window_size(MAX_SNAPSHOT_BYTES as u32)
--- a/stoatjunction_entry/src/snapshot/tests.rs
+++ b/stoatjunction_entry/src/snapshot/tests.rs
@@ -40,9 +40,9 @@
     let extension = Extension::new(HostProtocol::up_to(version));
     for recorded in recorded() {
         let bytes = unhex(&recorded.bytes);
-        let read = Snapshot::decode(&bytes).expect(&recorded.name);
+        let (read, _) = Snapshot::decode(&bytes).expect(&recorded.name);
         let sent = read.encode(&extension).expect(&recorded.name);
-        let read_again = Snapshot::decode(&sent).expect(&recorded.name);
+        let (read_again, _) = Snapshot::decode(&sent).expect(&recorded.name);
 
         for snapshot in [&read, &read_again] {
             let content = serde_json::to_value(snapshot).expect("snapshots have a text form");
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -42,6 +42,7 @@
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
 use crate::crash_probes::ProbeRequests;
+use crate::fleet_identity::FleetIdentity;
 use crate::header_names::HeaderNames;
 use crate::heartbeat::UpstreamLoad;
 use crate::host_protocols::HeardProtocols;
@@ -204,6 +205,7 @@
     pub(crate) gossip_socket: OnceCell<UdpSocket>,
     /// Messages of other hosts that could not be decoded.
     pub(crate) undecodable: RefCell<Occurrences>,
+    pub(crate) fleet: FleetIdentity,
     /// Wakes the gossip task to send a heartbeat soon.
     pub(crate) gossip_wakeup: Notify,
     /// Wakes the task that decides on waiting requests, when the first one waits.
@@ -301,6 +303,7 @@
             metrics,
             gossip_socket: OnceCell::new(),
             undecodable: RefCell::default(),
+            fleet: FleetIdentity::default(),
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
@@ -554,6 +557,18 @@
         true
     }
 
+    /// Forgets a host that is gone or was never one of this fleet, and returns whether it was known.
+    pub(crate) fn remove_peer(&mut self, ip: IpAddr) -> bool {
+        let Some(peer) = self.peers.swap_remove(&ip) else {
+            return false;
+        };
+        log::info!("event=host_removed host={ip}");
+        for limiter in self.rate_limiters() {
+            limiter.remove_reporter(peer.boot);
+        }
+        true
+    }
+
     /// Returns the limiters of organisations and of the upstreams of each pool.
     pub(crate) fn rate_limiters(&mut self) -> impl Iterator<Item = &mut RateLimiter> {
         let pools = self.schedulers.values_mut();
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -292,6 +292,12 @@
         replaces: Option<u64>,
     ) -> impl Future<Output = Result<Option<u64>, StoreError>>;
 
+    /// Returns the number that identifies the fleet, if there is one.
+    fn read_fleet_id(&self) -> impl Future<Output = Result<Option<u64>, StoreError>>;
+
+    /// Writes the number that identifies the fleet. Succeeds if there is one already.
+    fn create_fleet_id(&self, id: u64) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Returns where streams began, as far as hosts have written it.
     fn list_origins(&self) -> impl Future<Output = Result<Vec<StoredOrigins>, StoreError>>;
 
