Keys of the Object API and names of upstreams are escaped where the product's own programs put them into URIs

The keys of today are numbers and digests, so that only an operator's own upstream could be meant: draining one with an odd name failed. The stand-in of the Object API decodes paths and queries now, and refuses what is malformed.

--- a/stoatjunction/src/fleet.rs
+++ b/stoatjunction/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use pico_args::Arguments;
 use serde_json::{Value, json};
+use stoatjunction_net::uri_text::escape;
 
 use crate::admin::{Responses, call_daemons, field_text, print_unresponsive};
 use crate::cli::{CommandError, check_no_arguments_left, take_positional, usage_error};
@@ -21,7 +22,7 @@
         "quarantine" => match args.subcommand()?.as_deref() {
             Some("release") => {
                 let fingerprint = take_positional(&mut args, "FINGERPRINT")?;
-                let path = format!("quarantine/release?fingerprint={fingerprint}");
+                let path = format!("quarantine/release?fingerprint={}", escape(&fingerprint));
                 post_change(cfg, &path, args).await
             }
             Some(other) => Err(usage_error(format!("unknown quarantine command `{other}`"))),
@@ -29,7 +30,8 @@
         },
         "drain" | "undrain" => {
             let upstream = take_positional(&mut args, "UPSTREAM")?;
-            post_change(cfg, &format!("upstreams/{command}?name={upstream}"), args).await
+            let path = format!("upstreams/{command}?name={}", escape(&upstream));
+            post_change(cfg, &path, args).await
         }
         other => Err(usage_error(format!("unknown command `{other}`"))),
     }
--- a/stoatjunction_dispatcher/src/admin.rs
+++ b/stoatjunction_dispatcher/src/admin.rs
@@ -3,6 +3,7 @@
 use serde_json::{Value, json};
 use stoatjunction_net::admin::query_value;
 use stoatjunction_net::message::LeavingSource;
+use stoatjunction_net::uri_text::unescape;
 
 use crate::state::State;
 
@@ -78,7 +79,7 @@
     }
 
     fn set_draining(&mut self, query: &str, leaving: bool) -> Option<Value> {
-        let upstream = query_value(query, "name")?.to_owned();
+        let upstream = unescape(query_value(query, "name")?)?.into_owned();
         self.bundle.as_ref()?.upstreams.get(&upstream)?;
         self.set_leaving_status(&upstream, LeavingSource::Operator, leaving);
         self.send_pending_updates();
--- a/stoatjunction_net/src/platform.rs
+++ b/stoatjunction_net/src/platform.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 
 use crate::http::{Body, call, full};
+use crate::uri_text::{escape, escape_path};
 
 /// Response header that carries the version of an object.
 pub const VERSION_HEADER: &str = "x-version";
@@ -95,7 +96,7 @@
     pub async fn get(&self, key: &str) -> Result<Object, PlatformError> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
         let res = self
-            .call(Method::GET, &format!("/v1/objects/{key}"), None, "", 0)
+            .call(Method::GET, &object_path(key), None, "", 0)
             .await?;
         let version = version_header(&res)
             .ok_or_else(|| no_response("the response has no valid x-version header"))?;
@@ -114,7 +115,7 @@
     /// A [`PlatformError`] if the call failed.
     pub async fn list(&self, prefix: &str) -> Result<Vec<Object>, PlatformError> {
         self.calls.reads.fetch_add(1, Ordering::Relaxed);
-        let path = format!("/v1/list?prefix={prefix}");
+        let path = format!("/v1/list?prefix={}", escape(prefix));
         let res = self.call(Method::GET, &path, None, "", 0).await?;
         serde_json::from_slice(res.body()).map_err(|e| no_response(&e.to_string()))
     }
@@ -132,7 +133,7 @@
         expect: Precondition,
     ) -> Result<u64, PlatformError> {
         self.calls.writes.fetch_add(1, Ordering::Relaxed);
-        let path = format!("/v1/objects/{key}");
+        let path = object_path(key);
         let res = self
             .call(Method::PUT, &path, Some(expect), value, 0)
             .await?;
@@ -147,7 +148,7 @@
     /// Same as [`ObjectApiClient::put`].
     pub async fn delete(&self, key: &str, version: u64) -> Result<(), PlatformError> {
         self.calls.writes.fetch_add(1, Ordering::Relaxed);
-        let path = format!("/v1/objects/{key}");
+        let path = object_path(key);
         let expect = Some(Precondition::Version(version));
         self.call(Method::DELETE, &path, expect, "", 0)
             .await
@@ -168,6 +169,7 @@
     ) -> Result<Object, PlatformError> {
         self.calls.watches.fetch_add(1, Ordering::Relaxed);
         let ms = wait.as_millis();
+        let key = escape(key);
         let path = format!("/v1/watch?key={key}&after={after}&wait_ms={ms}");
         let res = self.call(Method::GET, &path, None, "", ms as u64).await?;
         serde_json::from_slice(res.body()).map_err(|e| no_response(&e.to_string()))
@@ -206,6 +208,10 @@
     }
 }
 
+fn object_path(key: &str) -> String {
+    format!("/v1/objects/{}", escape_path(key))
+}
+
 fn version_header(res: &Response<Bytes>) -> Option<u64> {
     res.headers()
         .get(VERSION_HEADER)?
--- a/stoatjunction_net/src/uri_text.rs
+++ b/stoatjunction_net/src/uri_text.rs
@@ -1,6 +1,10 @@
 //! Texts of others in URIs.
 
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
+use std::borrow::Cow;
+
+use percent_encoding::{
+    AsciiSet, NON_ALPHANUMERIC, PercentEncode, percent_decode_str, utf8_percent_encode,
+};
 
 /// Bytes that do not stand for themselves everywhere in a path and a query: all but the unreserved ones.
 const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
@@ -14,11 +18,22 @@
     utf8_percent_encode(text, RESERVED)
 }
 
+/// Returns the path of a key, whose segments stay apart.
+pub fn escape_path(key: &str) -> String {
+    let segments: Vec<String> = key.split('/').map(|s| escape(s).to_string()).collect();
+    segments.join("/")
+}
+
+/// Returns the text that [`escape`] was given; `None` if it is no UTF-8.
+pub fn unescape(text: &str) -> Option<Cow<'_, str>> {
+    percent_decode_str(text).decode_utf8().ok()
+}
+
 #[cfg(test)]
 mod tests {
     use yare::parameterized;
 
-    use super::escape;
+    use super::{escape, unescape};
 
     #[parameterized(
         plain = { "i-7f3a_91.c2~", "i-7f3a_91.c2~" },
@@ -31,6 +46,9 @@
         line_end = { "a\r\n", "a%0D%0A" },
     )]
     fn a_text_is_escaped_for_paths_and_queries(text: &str, expected: &str) {
-        assert_eq!(escape(text).to_string(), expected);
+        let escaped = escape(text).to_string();
+
+        assert_eq!(escaped, expected);
+        assert_eq!(unescape(&escaped).as_deref(), Some(text));
     }
 }
--- a/stoatjunction_standin/src/object_api.rs
+++ b/stoatjunction_standin/src/object_api.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::reply::{broken, json, number, text};
+use crate::uri_text::decode_segment;
 
 /// Maximum size of a value in bytes.
 const MAX_VALUE_BYTES: usize = 1 << 20;
@@ -207,7 +208,10 @@
             (Method::GET, "/v1/list") => self.list(&query),
             (Method::GET, "/v1/watch") => self.watch(&query).await,
             (method, path) => match path.strip_prefix("/v1/objects/") {
-                Some(key) => self.object(method, key.to_owned(), req).await,
+                Some(key) => match decode_segment(key) {
+                    Ok(key) => self.object(method, key, req).await,
+                    Err(_) => text(StatusCode::BAD_REQUEST, "malformed path"),
+                },
                 None => text(StatusCode::NOT_FOUND, "no such path"),
             },
         }
@@ -302,12 +306,14 @@
     }
 
     fn list(&self, query: &str) -> Response<Body> {
-        let prefix = query_value(query, "prefix").unwrap_or("");
+        let Ok(prefix) = decode_segment(query_value(query, "prefix").unwrap_or("")) else {
+            return text(StatusCode::BAD_REQUEST, "malformed query");
+        };
         let inner = self.lock();
         let found: Vec<Object> = inner
             .objects
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.starts_with(&prefix))
             .map(|(key, (version, value))| Object {
                 key: key.clone(),
                 version: *version,
@@ -319,7 +325,9 @@
 
     async fn watch(&self, query: &str) -> Response<Body> {
         self.lock().calls.watches += 1;
-        let key = query_value(query, "key").unwrap_or("").to_owned();
+        let Ok(key) = decode_segment(query_value(query, "key").unwrap_or("")) else {
+            return text(StatusCode::BAD_REQUEST, "malformed query");
+        };
         let after = number(query, "after").unwrap_or(0);
         let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
         let mut changed = self.changed.subscribe();
