Hosts that do not know their fleet ask the store more and more rarely

A host that starts while the store is away asked for the number of its fleet twice a second, as each of 300 hosts would after a loss of power; each call is billed, also a refused one. The time between calls doubles up to 5 s and is drawn. foreign_hosts.rs and fleet.rs green. By reading; the calls were not counted.

--- a/stoatjunction_entry/src/fleet_identity.rs
+++ b/stoatjunction_entry/src/fleet_identity.rs
@@ -17,8 +17,9 @@
 const DECISION_TIME: Duration = Duration::from_millis(150);
 /// Time that a fleet's first hosts get to write the number, before others do.
 const WRITE_PATIENCE: Duration = Duration::from_millis(250);
-/// Time after a failed call to the store.
-const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a failed call to the store, which doubles with each further one, and the longest.
+const MIN_BACKOFF: Duration = Duration::from_millis(400);
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
 /// Shortest time between two reads while messages of another fleet come: each call to the store is billed.
 const REREAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -77,9 +78,11 @@
             first.await
         }
     };
+    let mut backoff = MIN_BACKOFF;
     loop {
         match identified {
             Ok(id) => {
+                backoff = MIN_BACKOFF;
                 if cx.fleet.id.replace(Some(id)) != Some(id) {
                     log::info!("event=fleet_identified fleet={id:016x}");
                     cx.gossip_wakeup.notify_one();
@@ -91,7 +94,8 @@
             Err(e) => {
                 log::info!("event=fleet_unidentified reason=\"{e}\"");
                 cx.fleet.decide();
-                tokio::time::sleep(RETRY_INTERVAL).await;
+                tokio::time::sleep(backoff.mul_f64(0.5 + fastrand::f64())).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
             }
         }
         identified = identify(&cx, &*store).await;
