--- a/stoatjunction_entry/src/fleet_identity.rs
+++ b/stoatjunction_entry/src/fleet_identity.rs
@@ -88,8 +88,9 @@
                     cx.gossip_wakeup.notify_one();
                 }
                 cx.fleet.decide();
+                let read_at = tokio::time::Instant::now();
                 cx.fleet.foreign_heard.notified().await;
-                tokio::time::sleep(REREAD_INTERVAL).await;
+                tokio::time::sleep_until(read_at + REREAD_INTERVAL).await;
             }
             Err(e) => {
                 log::info!("event=fleet_unidentified reason=\"{e}\"");
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -28,7 +28,7 @@
 const TCP_SYN_ACK: u32 = 0x12;
 /// Connections of the balancer, other hosts and readers of metrics that may wait to be accepted on a port; a full queue delays them
 /// by seconds.
-const ACCEPT_BACKLOG: usize = 256;
+const ACCEPT_BACKLOG: usize = 1_024;
 /// Largest list of headers between hosts in bytes. The HTTP/2 library keeps 16 MB by itself.
 pub(crate) const MAX_HEADER_LIST_BYTES: u32 = 16 * 1024;
 
