What another fleet said while the store was away is forgotten

Cause: the number tells fleets apart only once it is known, and what was taken over before was never looked at again.

Change: a host that does not know its number counts as one of the fleet whose state it takes over, and sends that number, so that hosts that know better do not take it over in turn. When the store names another fleet, the host forgets configuration and list, and lists both again. Where the store says that there is no number yet, messages wait up to a second for it to be written. A number that was lost is written again by hosts that know it.

--- a/stoatjunction_entry/src/fleet_identity.rs
+++ b/stoatjunction_entry/src/fleet_identity.rs
@@ -17,6 +17,8 @@
 const DECISION_TIME: Duration = Duration::from_millis(150);
 /// Time that a fleet's first hosts get to write the number, before others do.
 const WRITE_PATIENCE: Duration = Duration::from_millis(250);
+/// Time for which messages wait after that if the store has no number yet: what is taken over meanwhile would be forgotten.
+const WRITING_TIME: Duration = Duration::from_millis(1_000);
 /// Time after a failed call to the store, which doubles with each further one, and the longest.
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
@@ -27,6 +29,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetIdentity {
     id: Cell<Option<u64>>,
+    /// Number of the fleet whose state this host took over before it knew its own: it counts as one of it until then.
+    assumed: Cell<Option<u64>>,
+    /// How often state was forgotten that was taken over from another fleet.
+    resets: Cell<u64>,
+    has_reset: Notify,
+    /// True once the store has said that there is no number.
+    is_unwritten: Cell<bool>,
     /// True once the number is known or could not be read in time.
     is_decided: Cell<bool>,
     decision: Notify,
@@ -37,20 +46,52 @@
 }
 
 impl FleetIdentity {
-    /// Returns the number.
+    /// Returns the number, or the one that is assumed.
     pub(crate) fn id(&self) -> Option<u64> {
-        self.id.get()
+        self.id.get().or(self.assumed.get())
     }
 
     /// Returns whether a message with this number may be of this host's fleet. Builds that know no number send none, as do
     /// hosts that have not reached the store.
     pub(crate) fn is_own(&self, id: Option<u64>) -> bool {
-        match (self.id.get(), id) {
+        match (self.id(), id) {
             (Some(own), Some(id)) => own == id,
             _ => true,
         }
     }
 
+    /// Assumes that this host is of the fleet with this number, whose state it takes over from `peer`, unless it knows better.
+    pub(crate) fn assume(&self, id: Option<u64>, peer: IpAddr) {
+        if let (None, Some(id)) = (self.id(), id) {
+            log::info!("event=fleet_assumed fleet={id:016x} from={peer}");
+            self.assumed.set(Some(id));
+        }
+    }
+
+    /// Returns how often this host has forgotten its state.
+    pub(crate) fn resets(&self) -> u64 {
+        self.resets.get()
+    }
+
+    /// Waits until this host has forgotten its state more often than `resets`.
+    pub(crate) async fn reset_after(&self, resets: u64) {
+        while self.resets.get() <= resets {
+            self.has_reset.notified().await;
+        }
+    }
+
+    /// Sets the number, and returns whether another one was assumed.
+    fn identify(&self, id: u64) -> bool {
+        self.id.set(Some(id));
+        self.assumed.take().is_some_and(|a| a != id)
+    }
+
+    /// Has the tasks that follow the store list it again.
+    fn record_reset(&self) {
+        self.resets.set(self.resets.get() + 1);
+        self.has_reset.notify_waiters();
+    }
+
     /// Waits until messages can be told apart, or have to be heard all the same.
     pub(crate) async fn decided(&self) {
         while !self.is_decided.get() {
@@ -69,24 +110,13 @@
 where
     S: Store,
 {
-    let first = identify(&cx, &*store);
-    tokio::pin!(first);
-    let mut identified = match tokio::time::timeout(DECISION_TIME, &mut first).await {
-        Ok(identified) => identified,
-        Err(_) => {
-            cx.fleet.decide();
-            first.await
-        }
-    };
+    let mut identified = identify_in_time(&cx, &*store).await;
     let mut backoff = MIN_BACKOFF;
     loop {
         match identified {
             Ok(id) => {
                 backoff = MIN_BACKOFF;
-                if cx.fleet.id.replace(Some(id)) != Some(id) {
-                    log::info!("event=fleet_identified fleet={id:016x}");
-                    cx.gossip_wakeup.notify_one();
-                }
+                set_identity(&cx, id);
                 cx.fleet.decide();
                 let read_at = tokio::time::Instant::now();
                 cx.fleet.foreign_heard.notified().await;
@@ -103,6 +133,38 @@
     }
 }
 
+/// Returns the number, and has messages heard without it if it does not come in time.
+async fn identify_in_time<S>(cx: &Context, store: &S) -> Result<u64, StoreError>
+where
+    S: Store,
+{
+    let identified = identify(cx, store);
+    tokio::pin!(identified);
+    if let Ok(identified) = tokio::time::timeout(DECISION_TIME, &mut identified).await {
+        return identified;
+    }
+    if cx.fleet.is_unwritten.get()
+        && let Ok(identified) = tokio::time::timeout(WRITING_TIME, &mut identified).await
+    {
+        return identified;
+    }
+    cx.fleet.decide();
+    identified.await
+}
+
+fn set_identity(cx: &Context, id: u64) {
+    if cx.fleet.id.get() == Some(id) {
+        return;
+    }
+    log::info!("event=fleet_identified fleet={id:016x}");
+    if cx.fleet.identify(id) {
+        log::warn!("event=foreign_state_forgotten");
+        cx.forget_state();
+        cx.fleet.record_reset();
+    }
+    cx.gossip_wakeup.notify_one();
+}
+
 /// Returns the number that the store has, which this host writes if nobody else does.
 async fn identify<S>(cx: &Context, store: &S) -> Result<u64, StoreError>
 where
@@ -111,6 +173,7 @@
     if let Some(id) = read(cx, store).await? {
         return Ok(id);
     }
+    cx.fleet.is_unwritten.set(true);
     let is_seed = cx.settings.seeds.contains(&cx.settings.ip);
     if !is_seed {
         tokio::time::sleep(WRITE_PATIENCE.mul_f64(0.5 + fastrand::f64())).await;
@@ -118,7 +181,9 @@
             return Ok(id);
         }
     }
-    let written = store.create_fleet_id(fastrand::u64(1..)).await;
+    let known = cx.fleet.id.get();
+    let id = known.unwrap_or_else(|| fastrand::u64(1..));
+    let written = store.create_fleet_id(id).await;
     count(cx, "write", written.is_ok());
     written?;
     let id = read(cx, store).await?;
--- a/stoatjunction_entry/src/snapshot.rs
+++ b/stoatjunction_entry/src/snapshot.rs
@@ -239,6 +239,7 @@
         fleet_identity::record_foreign(cx, peer);
         return Err(io::Error::other("the host is of another fleet"));
     }
+    cx.fleet.assume(extension.fleet(), peer);
     if let Some(cfg) = snapshot.cfg {
         cx.apply_configuration(cfg, ConfigurationSource::Host(peer));
     }
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -364,6 +364,16 @@
         true
     }
 
+    /// Forgets the configuration and the list of upstreams, so that requests wait for those of the store.
+    pub(crate) fn forget_state(&self) {
+        let mut state = self.state.borrow_mut();
+        state.routes = None;
+        state.upstream_list = UpstreamList::default();
+        state.has_list = false;
+        drop(state);
+        self.sync_pools();
+    }
+
     /// Updates pools and idle connections after a change of the list of upstreams.
     pub(crate) fn sync_pools(&self) {
         let now = clock::now();
--- a/stoatjunction_entry/src/store_watch.rs
+++ b/stoatjunction_entry/src/store_watch.rs
@@ -361,6 +361,7 @@
                 state.first_list.begin(fastrand::f64(), clock::now());
             }
         }
+        let resets = cx.fleet.resets();
         let listed = list(&cx, &*store, topic, role, is_retry).await;
         if topic == Topic::Upstreams && listed.is_err() {
             cx.state.borrow_mut().first_list.end();
@@ -372,7 +373,10 @@
                 read_orders_first(&cx, &*store, role, &all).await;
                 replace(&cx, topic, all);
                 wait_for_others(&cx).await;
-                watch_from(&cx, &*store, topic, revision, &mut crash_watch).await;
+                tokio::select! {
+                    () = watch_from(&cx, &*store, topic, revision, &mut crash_watch) => {}
+                    () = cx.fleet.reset_after(resets) => {}
+                }
                 // A store that cuts its watches may do so again at once.
                 tokio::time::sleep(jittered(MIN_BACKOFF)).await;
             }
