The log is written to standard error itself

Cause: since the log has a thread of its own, it wrote to a copy of the descriptor of standard error.

Change: the thread writes to standard error by the standard library, which buffers nothing there. Nobody else in a host writes to it, so that its lock holds nobody up; reports of panics go by the queue.

Measured: standard_error.rs, a_host_writes_its_log_to_standard_error_itself, red before (descriptor 9 beside 2); the other ten cases green before and after.

--- a/stoatjunction_net/src/logging.rs
+++ b/stoatjunction_net/src/logging.rs
@@ -2,9 +2,7 @@
 //! is limited; the next line that is written carries the number of suppressed lines. Nothing waits for standard error
 //! and nothing fails with it: it may be a pipe that nobody reads, or closed.
 
-use std::fs::File;
 use std::io::{self, Write};
-use std::os::fd::AsFd;
 use std::panic::{self, PanicHookInfo};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -141,8 +139,7 @@
 fn queue() -> &'static LineQueue {
     QUEUE.get_or_init(|| {
         let cfg = LineQueueConfig::default();
-        let output = io::stderr().as_fd().try_clone_to_owned();
-        let started = output.and_then(|fd| LineQueue::start(cfg, File::from(fd)));
+        let started = LineQueue::start(cfg, io::stderr());
         started.unwrap_or_else(|_| LineQueue::without_output(cfg))
     })
 }
