Upstreams are watched under runs whose callers have left

Cause: whoever sent a run looked at its upstream once, when its silence became suspicious, and not at all if any other run there had received a byte meanwhile. Nobody was the owner of the run from then on, nor of one that the host gave up for a second attempt.

Change: a run that ends without an outcome, or as timed out, is handed to a module of the core without a network (left_runs.rs), which owns it until its deadline is over: it says when the upstream has to be looked at, and whether what is known shows that it goes on or a connection has to. Runs on one upstream share one watch. The end of any other run there counts for them at once; an upstream that drains or leaves the list ends as planned. 512 runs at most, the oldest give way and are counted (left_runs_unwatched).

Ruled out: looking from the target latency on only (a first form; deadly_part.rs, resumed_stream_gone_dark_midway red, as a silence that was already suspicious waited 1.5 s for its look).

--- a/stoatjunction_core/src/entry/mod.rs
+++ b/stoatjunction_core/src/entry/mod.rs
@@ -22,6 +22,7 @@
 pub mod follower_election;
 pub mod health;
 pub mod latency;
+pub mod left_runs;
 pub mod list_doubt;
 pub mod list_update;
 pub mod memory_budget;
--- a/stoatjunction_core/src/entry/pool.rs
+++ b/stoatjunction_core/src/entry/pool.rs
@@ -320,6 +320,12 @@
         upstream.listed.draining || self.notices.is_leaving(upstream.number)
     }
 
+    /// Returns whether the upstream is listed with this number, that of its start, and does not leave.
+    pub fn is_staying(&self, key: UpstreamKey, number: u64) -> bool {
+        let upstream = self.upstreams.get(key);
+        upstream.is_some_and(|u| u.number == number && !self.is_leaving(u))
+    }
+
     /// Returns whether a request may be sent to the upstream at this moment: it may have stated since the
     /// placement that it leaves or wants a pause. An upstream that is no longer listed may not.
     pub fn may_send(&self, key: UpstreamKey, now: Time) -> bool {
--- a/stoatjunction_entry/src/attempt.rs
+++ b/stoatjunction_entry/src/attempt.rs
@@ -225,7 +225,7 @@
         is_new: !is_kept,
         is_own: !connection.is_tunnelled,
     };
-    placement.mark_sent(request, used);
+    placement.mark_sent(request, used, deadline);
     placement.set_silence_limit(options.silence_limit);
     connection.counter.reset();
     let response = connection.sender.try_send_request(req);
--- a/stoatjunction_entry/src/crash.rs
+++ b/stoatjunction_entry/src/crash.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::connection_pool::CONNECT_TIMEOUT;
+use crate::left_runs;
 use crate::state::Context;
 use crate::upstream_connections;
 
@@ -197,8 +198,11 @@
     }
     let (cx, target) = (cx.clone(), target.clone());
     let mut check = tokio::task::spawn_local(async move {
-        if has_ended(&cx, &target).await && !doubted.causes.is_empty() {
-            record(&cx, &doubted, &target, "broken");
+        if has_ended(&cx, &target).await {
+            left_runs::blame(&cx, &target);
+            if !doubted.causes.is_empty() {
+                record(&cx, &doubted, &target, "broken");
+            }
         } else if !doubted.causes.is_empty() {
             log::info!(
                 "event=break_not_blamed request={} upstream={} how={} reason=\"the upstream takes connections\"",
@@ -216,12 +220,13 @@
 /// which says nothing about the request.
 pub(crate) async fn check_upstream(cx: &Rc<Context>, sent: &SentRequest, target: &UpstreamTarget) {
     if has_ended(cx, target).await {
+        left_runs::blame(cx, target);
         record(cx, sent, target, "silent");
     }
 }
 
 /// Returns whether an upstream accepts no connection, of this host or, while this one is cut off, of another one.
-async fn has_ended(cx: &Rc<Context>, target: &UpstreamTarget) -> bool {
+pub(crate) async fn has_ended(cx: &Rc<Context>, target: &UpstreamTarget) -> bool {
     let opened = upstream_connections::open(cx, target).await;
     upstream_connections::is_unaccepted(&opened)
 }
--- a/stoatjunction_entry/src/lib.rs
+++ b/stoatjunction_entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod host_protocols;
 mod ingress;
 mod introduction;
+mod left_runs;
 mod limit_reports;
 mod list_doubt;
 mod metrics;
--- a/stoatjunction_entry/src/placement.rs
+++ b/stoatjunction_entry/src/placement.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use stoatjunction_core::entry::capacity::LoadStatement;
 use stoatjunction_core::entry::health::RunOutcome;
+use stoatjunction_core::entry::left_runs::LeftRun;
 use stoatjunction_core::entry::pool::{Decision, PlacementRequest, Pool, RunKey, UpstreamKey};
 use stoatjunction_core::entry::queue::{Queue, RequestId};
 use stoatjunction_core::entry::reachability::Reachability;
@@ -18,6 +19,7 @@
 use crate::attempt::{UpstreamRequest, UpstreamTarget};
 use crate::clock;
 use crate::crash::{self, Break, SentRequest, UsedConnection};
+use crate::left_runs;
 use crate::limit_reports;
 use crate::notice_reports;
 use crate::pressure;
@@ -170,7 +172,7 @@
     }
 
     /// Returns when this host last received bytes from an upstream; long ago if it is not listed.
-    fn last_byte_at(&self, service: &str, key: UpstreamKey) -> Time {
+    pub(crate) fn last_byte_at(&self, service: &str, key: UpstreamKey) -> Time {
         let state = self.state.borrow();
         let scheduler = state.schedulers.get(service);
         let upstream = scheduler.and_then(|s| s.pool.upstream(key));
@@ -250,6 +252,8 @@
     /// The request, from the moment at which the upstream may run it.
     sent: RefCell<Option<SentRequest>>,
     sent_at: Cell<Time>,
+    /// Time up to which the upstream may work on the request.
+    deadline: Cell<Time>,
     /// Time of the sending or of the last bytes received since.
     last_byte_at: Cell<Time>,
     /// Silence of the upstream that is suspicious when the run ends without a response.
@@ -289,6 +293,7 @@
             number,
             sent: RefCell::new(None),
             sent_at: Cell::default(),
+            deadline: Cell::default(),
             last_byte_at: Cell::default(),
             silence_limit: Cell::default(),
             silence_check: RefCell::new(None),
@@ -321,11 +326,17 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    pub(crate) fn mark_sent(&self, request: &UpstreamRequest, connection: UsedConnection) {
+    pub(crate) fn mark_sent(
+        &self,
+        request: &UpstreamRequest,
+        connection: UsedConnection,
+        deadline: Time,
+    ) {
         let sent = SentRequest::new(request, self.number, connection);
         self.sent.replace(Some(sent));
         self.sent_at.set(clock::now());
         self.last_byte_at.set(clock::now());
+        self.deadline.set(deadline);
     }
 
     /// Returns whether the upstream has sent nothing, to this run or any other, since the request was sent to it over a
@@ -372,19 +383,27 @@
     pub(crate) fn check_silence(&self) {
         let silence = clock::now().since(self.upstream_last_byte_at());
         if silence >= self.silence_limit.get() {
-            self.spawn_check(Span::ZERO);
+            self.spawn_check();
         }
     }
 
-    /// Starts to find out whether the upstream crashed under a run that nobody waits for any more: it is
-    /// checked unless it sends something before its silence has lasted for the limit.
-    fn check_abandoned(&self) {
-        let silence = clock::now().since(self.upstream_last_byte_at());
-        self.spawn_check(self.silence_limit.get() - silence);
+    /// Has the upstream watched under a run that nobody waits for any more.
+    fn watch_left(&self) {
+        let (Some(sent), Some(target)) = (self.sent.borrow().clone(), &self.target) else {
+            return;
+        };
+        let last_byte_at = self.upstream_last_byte_at();
+        let run = LeftRun {
+            run: sent,
+            last_byte_at,
+            suspicious_at: last_byte_at + self.silence_limit.get(),
+            until: self.deadline.get(),
+        };
+        left_runs::watch(&self.cx, run, target.clone(), self.key);
     }
 
-    /// Checks the upstream after `delay`, if it has sent nothing by then.
-    fn spawn_check(&self, delay: Span) {
+    /// Checks the upstream.
+    fn spawn_check(&self) {
         let (Some(sent), Some(target)) = (self.sent.borrow().clone(), &self.target) else {
             return;
         };
@@ -396,7 +415,6 @@
         let (service, key) = (self.service.clone(), self.key);
         let last_byte_at = self.upstream_last_byte_at();
         *check = Some(tokio::task::spawn_local(async move {
-            tokio::time::sleep(delay.into()).await;
             if cx.last_byte_at(&service, key) <= last_byte_at {
                 crash::check_upstream(&cx, &sent, &target).await;
             }
@@ -558,8 +576,8 @@
             let tags = [("service", self.service.as_str()), ("outcome", end)];
             self.cx.metrics.count("runs_ended", &tags);
         }
-        if self.outcome.is_none() {
-            self.check_abandoned();
+        if matches!(self.outcome, None | Some(RunOutcome::TimedOut)) {
+            self.watch_left();
         }
         if self.outcome == Some(RunOutcome::Success) {
             pressure::record_completion(&self.cx, &self.service);
--- a/stoatjunction_entry/src/state.rs
+++ b/stoatjunction_entry/src/state.rs
@@ -13,6 +13,7 @@
 use stoatjunction_core::entry::file_shares::FileShares;
 use stoatjunction_core::entry::first_list::FirstList;
 use stoatjunction_core::entry::follower_election::FollowerElection;
+use stoatjunction_core::entry::left_runs::LeftRuns;
 use stoatjunction_core::entry::list_doubt::ListDoubt;
 use stoatjunction_core::entry::memory_budget::{self, MemoryBudget};
 use stoatjunction_core::entry::origin_log::OriginLog;
@@ -41,6 +42,7 @@
 use crate::capacity_reports;
 use crate::clock;
 use crate::connection_pool::{Connection, ConnectionPool};
+use crate::crash::SentRequest;
 use crate::crash_probes::ProbeRequests;
 use crate::fleet_identity::FleetIdentity;
 use crate::header_names::HeaderNames;
@@ -138,6 +140,8 @@
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) crash_causes: CrashCauses,
+    /// Runs that nobody waits for, under which upstreams may still crash.
+    pub(crate) left_runs: LeftRuns<SentRequest>,
     /// What other hosts reported of upstreams that are not listed here yet.
     pub(crate) early_notices: EarlyNotices,
     pub(crate) list_doubt: ListDoubt,
@@ -212,6 +216,8 @@
     pub(crate) queue_wakeup: Notify,
     /// Wakes the task that stores crashes.
     pub(crate) crash_wakeup: Notify,
+    /// Wakes the tasks that watch upstreams under runs that nobody waits for.
+    pub(crate) left_runs_wakeup: Notify,
     /// Requests that wait to be sent although they are barred.
     pub(crate) probes: ProbeRequests,
     /// Wakes the task that stores where streams began.
@@ -260,6 +266,7 @@
             rate_limiter: RateLimiter::new(settings.tolerance.usable(), now),
             retry_budget: RetryBudget::new(settings.retry_budget, first_start),
             crash_causes: CrashCauses::default(),
+            left_runs: LeftRuns::default(),
             early_notices: EarlyNotices::default(),
             list_doubt: ListDoubt::default(),
             list_checked_at: now,
@@ -307,6 +314,7 @@
             gossip_wakeup: Notify::new(),
             queue_wakeup: Notify::new(),
             crash_wakeup: Notify::new(),
+            left_runs_wakeup: Notify::new(),
             probes: ProbeRequests::default(),
             origin_wakeup: Notify::new(),
             origin_reads: OriginReads::default(),
--- a/stoatjunction_standin/src/crash.rs
+++ b/stoatjunction_standin/src/crash.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +19,8 @@
 pub enum CrashMode {
     /// Its connections are closed before the head of the response.
     BeforeHead,
+    /// The same, this long after it has received the request, whether or not the caller has left.
+    Late(Duration),
     /// Its connections are closed in the middle of the response.
     InResponse,
     /// It falls silent before the head of the response, and accepts no connections.
@@ -35,7 +38,7 @@
     /// Returns the status of the upstream after the crash.
     pub(crate) fn status(self) -> Status {
         match self {
-            CrashMode::BeforeHead | CrashMode::InResponse => Status::Down,
+            CrashMode::BeforeHead | CrashMode::Late(_) | CrashMode::InResponse => Status::Down,
             CrashMode::DarkBeforeHead | CrashMode::DarkInResponse => Status::Dark,
         }
     }
--- a/stoatjunction_standin/src/scripted_upstream.rs
+++ b/stoatjunction_standin/src/scripted_upstream.rs
@@ -596,6 +596,9 @@
             // Lets the sender read the beginning before the connection is reset.
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
+        if let CrashMode::Late(delay) = mode {
+            tokio::time::sleep(delay).await;
+        }
         self.lock().crashes.push(Crash {
             at: Instant::now(),
             line: req.line,
