--- a/stoatjunction_entry/src/forward.rs
+++ b/stoatjunction_entry/src/forward.rs
@@ -70,6 +70,10 @@
             counted.count("refused", &refusal.code.number().to_string());
             let shown_id = id.as_ref().and_then(|i| i.to_str().ok());
             let (version, version_age) = configuration_in_force(&cx);
+            let key = match refusal.code {
+                Code::UnknownKey => key,
+                _ => "",
+            };
             log::info!(
                 "event=refused request={} code={} reason={} after_ms={} version={version} version_age_ms={}{}",
                 shown_id.unwrap_or("-"),
@@ -77,10 +81,7 @@
                 refusal.code.slug(),
                 clock::now().since(arrived).as_millis(),
                 version_age.as_millis(),
-                match refusal.code {
-                    Code::UnknownKey => key,
-                    _ => "",
-                }
+                key
             );
             refusal.response(&cx.names, id.as_ref())
         }
