Accepting callers, readiness and the settings go on after a panic

A host whose task for callers panicked would be there, hold its port and serve nobody for as long as it runs, and nothing ends it: FAULT.

Change: these three tasks are supervised like the others. What they own outlives them: the listeners and the source of hangups are lent to each start of a task. The last connections at a stop are accepted on the listener itself, not on a copy that is taken out of the runtime.

No test plays a panic within a daemon.

--- a/stoatjunction_entry/src/daemon.rs
+++ b/stoatjunction_entry/src/daemon.rs
@@ -13,7 +13,7 @@
 use stoatjunction_net::supervised::supervise;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::task::LocalSet;
 
 use crate::clock;
@@ -114,11 +114,18 @@
         settings.dc
     );
     let (phase_tx, phase) = watch::channel(Phase::Serving);
-    let spawn = tokio::task::spawn_local::<LocalTask>;
-    spawn(Box::pin(ingress::accept(cx.clone(), callers, phase)));
-    spawn(Box::pin(ingress::serve_readiness(cx.clone(), ready)));
-    spawn(Box::pin(run_gossip(cx.clone())));
-    spawn(Box::pin(follow_settings(cx.clone(), hangup, reload)));
+    let (callers, ready) = (Rc::new(callers), Rc::new(ready));
+    spawn_supervised("callers", &cx, move |cx| {
+        ingress::accept(cx, callers.clone(), phase.clone())
+    });
+    spawn_supervised("readiness", &cx, move |cx| {
+        ingress::serve_readiness(cx, ready.clone())
+    });
+    let (hangup, reload) = (Rc::new(Mutex::new(hangup)), Rc::new(reload));
+    spawn_supervised("settings", &cx, move |cx| {
+        follow_settings(cx, hangup.clone(), reload.clone())
+    });
+    tokio::task::spawn_local(run_gossip(cx.clone()));
     spawn_listeners(&cx, [metrics, snapshots, tunnels]);
     spawn_supervised("tick", &cx, tick);
     spawn_supervised("status_line", &cx, status_line::run);
@@ -214,10 +221,11 @@
 
 /// Applies changed settings that need no restart: at once on SIGHUP, otherwise at the next
 /// interval.
-async fn follow_settings<R>(cx: Rc<Context>, mut hangup: Signal, reload: R)
+async fn follow_settings<R>(cx: Rc<Context>, hangup: Rc<Mutex<Signal>>, reload: Rc<R>)
 where
     R: Fn() -> miette::Result<EntrySettings>,
 {
+    let mut hangup = hangup.lock().await;
     let mut current = cx.settings.clone();
     loop {
         let _either = tokio::time::timeout(SETTINGS_INTERVAL, hangup.recv()).await;
--- a/stoatjunction_entry/src/ingress.rs
+++ b/stoatjunction_entry/src/ingress.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use stoatjunction_core::time::Span;
 use stoatjunction_net::occurrences::Occurrences;
 use stoatjunction_net::read_limit::{CountedBody, limit_reads};
@@ -44,7 +45,11 @@
 
 /// Accepts callers' connections until the daemon is closing, and then those that wait to be accepted:
 /// their callers count on an answer.
-pub(crate) async fn accept(cx: Rc<Context>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+pub(crate) async fn accept(
+    cx: Rc<Context>,
+    listener: Rc<TcpListener>,
+    phase: watch::Receiver<Phase>,
+) {
     let callers = Callers {
         refused: RefCell::default(),
         phase: phase.clone(),
@@ -63,7 +68,7 @@
         }
         callers.admit(stream);
     }
-    if let Err(e) = callers.admit_last(listener).await {
+    if let Err(e) = callers.admit_last(&listener).await {
         log::warn!("event=accept_failed reason={e}");
     }
 }
@@ -97,24 +102,24 @@
         }
     }
 
-    /// Serves the last connections and closes the listener.
-    async fn admit_last(&self, listener: TcpListener) -> io::Result<()> {
-        let listener = listener.into_std()?;
-        match sockets::stop_opening(&listener) {
+    /// Serves the last connections, after which the listener may be closed.
+    async fn admit_last(&self, listener: &TcpListener) -> io::Result<()> {
+        match sockets::stop_opening(listener) {
             Ok(()) => tokio::time::sleep(OPENING_TIME).await,
             Err(e) => log::info!("event=listener_filter_failed reason={e}"),
         }
-        self.admit_waiting(&listener)
+        self.admit_waiting(listener)
     }
 
     /// Serves the connections that wait to be accepted. Asks the socket itself: the runtime may not know of
     /// the latest ones yet.
-    fn admit_waiting(&self, listener: &std::net::TcpListener) -> io::Result<()> {
+    fn admit_waiting(&self, listener: &TcpListener) -> io::Result<()> {
+        let socket = SockRef::from(listener);
         loop {
-            match listener.accept() {
+            match socket.accept() {
                 Ok((stream, _)) => {
                     stream.set_nonblocking(true)?;
-                    self.admit(TcpStream::from_std(stream)?);
+                    self.admit(TcpStream::from_std(stream.into())?);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if concerns_one_peer(&e) => {}
@@ -269,7 +274,7 @@
 }
 
 /// Answers the balancer's readiness checks until the process ends.
-pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: TcpListener) {
+pub(crate) async fn serve_readiness(cx: Rc<Context>, listener: Rc<TcpListener>) {
     let max_open = cx.file_shares.checks;
     let respond = move |_: &Request<Incoming>| {
         // Without its port for heartbeats the host would take itself for the only one.
@@ -278,7 +283,7 @@
         let takes_callers = cx.callers.has_room();
         readiness_response(hears_hosts && takes_callers && cx.state.borrow().is_ready(clock::now()))
     };
-    probe_server::serve(listener, "readiness", max_open, respond).await;
+    probe_server::serve(&listener, "readiness", max_open, respond).await;
 }
 
 fn readiness_response(ready: bool) -> Response<Body> {
--- a/stoatjunction_entry/src/metrics.rs
+++ b/stoatjunction_entry/src/metrics.rs
@@ -210,7 +210,7 @@
         explain_placement::PATH => explain_placement::respond(&cx, &limit, req.uri().query()),
         _ => respond(&cx),
     };
-    probe_server::serve(listener, "metrics", max_open, respond).await;
+    probe_server::serve(&listener, "metrics", max_open, respond).await;
 }
 
 fn respond(cx: &Context) -> Response<Body> {
--- a/stoatjunction_entry/src/probe_server.rs
+++ b/stoatjunction_entry/src/probe_server.rs
@@ -23,7 +23,7 @@
 /// Answers the requests on `listener` with `respond` for as long as the daemon runs. Of the connections, the `max_open` most
 /// recent ones stay open.
 pub(crate) async fn serve<F>(
-    listener: TcpListener,
+    listener: &TcpListener,
     purpose: &'static str,
     max_open: usize,
     respond: F,
@@ -33,7 +33,7 @@
     let mut errors = SocketErrors::new(purpose);
     let mut connections = RecentConnections::new(max_open);
     loop {
-        let (stream, _) = errors.accept(&listener).await;
+        let (stream, _) = errors.accept(listener).await;
         connections.serve(serve_connection(stream, purpose, respond.clone()));
     }
 }
--- a/stoatjunction_entry/src/sockets.rs
+++ b/stoatjunction_entry/src/sockets.rs
@@ -80,7 +80,7 @@
 /// Lets no further connection be opened to the listener, while those that are being opened may be finished
 /// and accepted. A caller whose connection is opened right before the listener closes would be reset
 /// without knowing whether its request was read; one whose connection isn't opened knows that it was not.
-pub(crate) fn stop_opening(listener: &std::net::TcpListener) -> io::Result<()> {
+pub(crate) fn stop_opening(listener: &TcpListener) -> io::Result<()> {
     let instruction = |code: u32, jt, jf, k| SockFilter::new(code as u16, jt, jf, k);
     // Drops segments that ask for a connection: of the two flags, SYN is set and ACK is not.
     let filter = [
